--- /dev/null
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_calls.py
@@ -0,0 +1,58 @@
+"""A caller's request as the decisions see it, free of any encoding."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from figdoor_kernel._ids import (
+    Fingerprint,
+    InstanceId,
+    TenantName,
+)
+from figdoor_kernel._tables import Pool, Route
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request of a caller.
+
+    ``deadline_ms`` is the time left that the caller gave, in milliseconds, or
+    ``None``. ``attributes`` are named texts of the request (for HTTP the
+    headers, names in lower case). ``replayable`` says that the whole body is
+    held, so that a further attempt can be made.
+    """
+
+    operation: str
+    authority: str
+    path: str
+    fingerprint: Fingerprint
+    time_left_ms: float | None = None
+    replayable: bool = True
+    attributes: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedCall:
+    """A call joined with the rows of the tables that are in force for it.
+
+    ``deadline_ms`` is a point on the node's clock.
+    """
+
+    call: Call
+    route: Route
+    pool: Pool
+    tenant: TenantName
+    deadline_ms: float
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the routes table calls this operation idempotent."""
+        return self.call.operation in self.route.idempotent
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What an upstream says of itself: stale as soon as it is read."""
+
+    instance: InstanceId
+    running: int
+    draining: bool = False
--- /dev/null
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -0,0 +1,248 @@
+"""Named events, by which plug-ins hear of each other.
+
+In their usual order for one request: ``CallOpened``, ``AttemptStarted``,
+``ReportSeen``, ``AttemptEnded``, ``CallClosed``. The others follow what the
+platform, the peers and the clock bring.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from figdoor_kernel._calls import LoadReport, RoutedCall
+from figdoor_kernel._findings import Finding
+from figdoor_kernel._ids import NodeId, Revision, UpstreamId
+from figdoor_kernel._messages import News, PeerMessage
+from figdoor_kernel._states import (
+    AttemptState,
+    NodeState,
+    Outcome,
+    Refusal,
+    UpstreamState,
+)
+from figdoor_kernel._tables import Tables
+from figdoor_kernel._vms import VmList
+
+
+@dataclass(frozen=True, slots=True)
+class CallOpened:
+    """A routed call was taken."""
+
+    routed: RoutedCall
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallClosed:
+    """A call ended; ``refusal`` is set where it was refused."""
+
+    routed: RoutedCall | None
+    outcome: Outcome
+    refusal: Refusal | None
+    latency_ms: float
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptStarted:
+    """An upstream was chosen; from now on the attempt counts in flight."""
+
+    attempt_id: int
+    upstream: UpstreamId
+    routed: RoutedCall
+    attempt_number: int
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt is over.
+
+    ``failed`` says that the upstream answered with an error of its own.
+    ``connection_died`` says that its connection closed under the request.
+    """
+
+    attempt_id: int
+    upstream: UpstreamId
+    routed: RoutedCall
+    state: AttemptState
+    latency_ms: float
+    failed: bool
+    connection_died: bool
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReportSeen:
+    """A load report arrived, on an answer or on a probe's answer."""
+
+    upstream: UpstreamId
+    report: LoadReport
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """A probe is over; its report, if any, came as ``ReportSeen``."""
+
+    upstream: UpstreamId
+    latency_ms: float
+    succeeded: bool
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeWanted:
+    """A policy has spent budget on one probe of this upstream."""
+
+    upstream: UpstreamId
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionsClosed:
+    """The last open connection to an upstream closed.
+
+    The next connection may reach another instance of it.
+    """
+
+    upstream: UpstreamId
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamStateChanged:
+    """This node's picture of an upstream changed."""
+
+    upstream: UpstreamId
+    state: UpstreamState
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class TablesOffered:
+    """Texts of both tables arrived, from the service or from a peer.
+
+    ``read_started_ms`` is the clock when the read began, or ``None`` where
+    the offer came from a peer.
+    """
+
+    revision: Revision
+    routes_text: str
+    pools_text: str
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class TablesAccepted:
+    """A newer pair of tables is in force."""
+
+    tables: Tables
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class TablesRefused:
+    """A newer pair of tables has findings; the last one stays in force."""
+
+    revision: Revision
+    findings: tuple[Finding, ...]
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceConfirmed:
+    """A read of the configuration service that began then has succeeded."""
+
+    read_started_ms: float
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class VmListChanged:
+    """The VM list was read; it may be the same as before."""
+
+    vm_list: VmList
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessageReceived:
+    """A peer's message arrived."""
+
+    sender: NodeId
+    message: PeerMessage
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessageWanted:
+    """A policy wants a message sent to one peer."""
+
+    target: NodeId
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class NewsWanted:
+    """A policy wants news told to all peers."""
+
+    news: News
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NewsReceived:
+    """News of a peer arrived for the first time."""
+
+    origin: NodeId
+    news: News
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionBehind:
+    """A peer has a newer revision than this node."""
+
+    peer: NodeId
+    revision: Revision
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class NodeStateChanged:
+    """The node turned ready, unready, stopping or stopped."""
+
+    state: NodeState
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; sent every ``tick_ms`` while the loop runs."""
+
+    now_ms: float
+
+
+Event = TypeVar('Event')
+
+
+class EventBus:
+    """Hands each event to its subscribers, in the order they subscribed."""
+
+    def __init__(self) -> None:
+        """Start with no subscribers."""
+        self._handlers: dict[type[Any], list[Callable[[Any], None]]] = {}
+
+    def subscribe(
+        self,
+        event_type: type[Event],
+        handler: Callable[[Event], None],
+    ) -> None:
+        """Call ``handler`` with every event of exactly this type."""
+        self._handlers.setdefault(event_type, []).append(handler)
+
+    def publish(self, event: object) -> None:
+        """Call all subscribers before returning."""
+        for handler in self._handlers.get(type(event), ()):
+            handler(event)
--- /dev/null
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_ids.py
@@ -0,0 +1,15 @@
+"""Identifiers, each a type of its own so that they cannot be mixed up."""
+
+from typing import NewType
+
+VmId = NewType('VmId', str)
+NodeId = NewType('NodeId', str)
+UpstreamId = NewType('UpstreamId', str)
+InstanceId = NewType('InstanceId', str)
+ServiceName = NewType('ServiceName', str)
+AvailabilityZoneName = NewType('AvailabilityZoneName', str)
+RouteName = NewType('RouteName', str)
+PoolName = NewType('PoolName', str)
+TenantName = NewType('TenantName', str)
+Fingerprint = NewType('Fingerprint', int)
+Revision = NewType('Revision', int)
--- /dev/null
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -0,0 +1,136 @@
+"""Messages between nodes as typed values; their encoding is elsewhere.
+
+News is flooded over the whole fleet; the other messages go from one node to
+one other.
+"""
+
+from dataclasses import dataclass
+
+from figdoor_kernel._ids import (
+    Fingerprint,
+    InstanceId,
+    NodeId,
+    Revision,
+    RouteName,
+    UpstreamId,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """A question to a neighbour; ``token_ms`` is the sender's clock."""
+
+    token_ms: float
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck:
+    """The answer to a heartbeat, with the token it answers."""
+
+    token_ms: float
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Farewell:
+    """The sender stops now."""
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """A question for one place in the cold allowance of an upstream."""
+
+    upstream: UpstreamId
+    token_ms: float
+    deadline_in_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitAnswer:
+    """The home's answer: granted, already warm, or neither."""
+
+    upstream: UpstreamId
+    token_ms: float
+    granted: bool
+    warm_instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReturn:
+    """The end of a permitted attempt, with what came of it."""
+
+    upstream: UpstreamId
+    token_ms: float
+    succeeded: bool
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamTurnedCold:
+    """News: an upstream is cold again; claims for it are void."""
+
+    upstream: UpstreamId
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamWarm:
+    """News: the home vouches for one instance of an upstream."""
+
+    upstream: UpstreamId
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamDraining:
+    """News: an instance of an upstream says that it leaves."""
+
+    upstream: UpstreamId
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class DeathSeen:
+    """News: an upstream instance died while it ran this request."""
+
+    route: RouteName
+    fingerprint: Fingerprint
+    upstream: UpstreamId
+    instance: InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionAccepted:
+    """News: a node has accepted this revision of the tables."""
+
+    revision: Revision
+
+
+News = (
+    UpstreamTurnedCold
+    | UpstreamWarm
+    | UpstreamDraining
+    | DeathSeen
+    | RevisionAccepted
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Flooded:
+    """A piece of news on its way, with its origin's sequence number."""
+
+    origin: NodeId
+    sequence: int
+    news: News
+
+
+PeerMessage = (
+    Heartbeat
+    | HeartbeatAck
+    | Farewell
+    | PermitRequest
+    | PermitAnswer
+    | PermitReturn
+    | Flooded
+)
--- /dev/null
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -0,0 +1,69 @@
+"""One node: what all its parts share, and how the parts are found."""
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from figdoor_kernel._events import EventBus, TablesAccepted
+from figdoor_kernel._fleet import Fleet
+from figdoor_kernel._ids import AvailabilityZoneName, NodeId
+from figdoor_kernel._protocols import Clock
+from figdoor_kernel._registry import Extension, Registry
+from figdoor_kernel._tables import Tables
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Settings of the decisions; the gateway fills them from its flags."""
+
+    chooser: str = 'adaptive'
+    lease_ms: float = 2000
+    heartbeat_ms: float = 500
+    join_timeout_ms: float = 3000
+    vm_list_lag_ms: float = 5000
+    subset_size: int = 20
+    config_reads_per_s: float = 200
+    quarantine_ms: float = 60_000
+    evidence_ms: float = 30_000
+
+
+@dataclass(slots=True)
+class Node:
+    """The context that every factory gets.
+
+    A part is built when it is first asked for and then kept, so that parts
+    may refer to each other in any order that has no cycle.
+    """
+
+    node_id: NodeId
+    availability_zone: AvailabilityZoneName
+    clock: Clock
+    random: Random
+    registry: Registry
+    options: Options = field(default_factory=Options)
+    settings: Any = None
+    events: EventBus = field(default_factory=EventBus)
+    fleet: Fleet = field(init=False)
+    tables: Tables | None = None
+    _parts: dict[tuple[Extension, str], Any] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Follow the tables and the VM list from the first event on."""
+        self.fleet = Fleet(self.events)
+        self.events.subscribe(TablesAccepted, self._on_tables)
+
+    def part(self, extension: Extension, name: str) -> Any:
+        """Return the part of that name, built on first use."""
+        key = (extension, name)
+        if key not in self._parts:
+            factory = self.registry.factory(extension, name)
+            self._parts[key] = factory(self)
+        return self._parts[key]
+
+    def parts(self, extension: Extension) -> tuple[Any, ...]:
+        """Return all parts of one kind, in the order of registration."""
+        names = self.registry.names(extension)
+        return tuple(self.part(extension, name) for name in names)
+
+    def _on_tables(self, event: TablesAccepted) -> None:
+        self.tables = event.tables
