--- /dev/null
+++ b/packages/figdoor-tables/src/figdoor_tables/__init__.py
@@ -0,0 +1,19 @@
+"""Reading and checking of the two tables that operators write."""
+
+from figdoor_tables._columns import POOL_COLUMNS, ROUTE_COLUMNS, Column
+from figdoor_tables._reading import (
+    POOLS_TABLE,
+    ROUTES_TABLE,
+    ReadTables,
+    read_tables,
+)
+
+__all__ = (
+    'POOLS_TABLE',
+    'POOL_COLUMNS',
+    'ROUTES_TABLE',
+    'ROUTE_COLUMNS',
+    'Column',
+    'ReadTables',
+    'read_tables',
+)
--- /dev/null
+++ b/packages/figdoor-tables/src/figdoor_tables/_columns.py
@@ -0,0 +1,147 @@
+"""Typed columns: each reads its own cell and says what is wrong with it."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from figdoor_kernel import ANY
+
+_NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
+_OPERATION = re.compile('[A-Z]{1,16}')
+_HEADER = re.compile('[a-z0-9][a-z0-9-]{0,62}')
+_TENANT_HEADER_MARK = 'header:'
+
+Cell = Result[Any, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """One column of a table: its name and how to read its cells."""
+
+    name: str
+    read: Callable[[str], Cell]
+
+
+def read_name(cell: str) -> Cell:
+    """Read a name of lower-case letters, digits, dots and hyphens."""
+    if _NAME.fullmatch(cell):
+        return Success(cell)
+    return Failure(
+        f'{cell!r} is not a name (1 to 63 of a-z, 0-9, ".", "_", "-")',
+    )
+
+
+def read_pool_name(cell: str) -> Cell:
+    """Read a pool's name, or ``*`` for the row that bounds all pools."""
+    return Success(cell) if cell == ANY else read_name(cell)
+
+
+def read_authority(cell: str) -> Cell:
+    """Read a host name, or ``*`` for any."""
+    if cell == ANY:
+        return Success(cell)
+    if cell and ' ' not in cell and '/' not in cell:
+        return Success(cell.lower())
+    return Failure(f'{cell!r} is neither a host name nor *')
+
+
+def read_path_prefix(cell: str) -> Cell:
+    """Read the start of a path."""
+    if cell.startswith('/') and ' ' not in cell:
+        return Success(cell)
+    return Failure(f'{cell!r} does not start with /')
+
+
+def read_operations(cell: str) -> Cell:
+    """Read a list of operations; ``*`` gives the empty set, for any."""
+    if cell == ANY:
+        return Success(frozenset())
+    if not cell:
+        return Failure('names no operation; write * for any')
+    return read_operation_list(cell)
+
+
+def read_operation_list(cell: str) -> Cell:
+    """Read a list of operations that may be empty."""
+    wrong = [word for word in cell.split() if not _OPERATION.fullmatch(word)]
+    if wrong:
+        return Failure(f'{wrong[0]!r} is not an operation such as GET')
+    return Success(frozenset(cell.split()))
+
+
+def read_tenant(cell: str) -> Cell:
+    """Read a tenant's name, or ``header:NAME`` for one named by the call."""
+    if cell.startswith(_TENANT_HEADER_MARK):
+        header = cell.removeprefix(_TENANT_HEADER_MARK).lower()
+        if _HEADER.fullmatch(header):
+            return Success(cell.lower())
+        return Failure(f'{header!r} is not a header name')
+    return read_name(cell)
+
+
+def read_name_list(cell: str) -> Cell:
+    """Read names separated by spaces; the list may be empty."""
+    wrong = [word for word in cell.split() if not _NAME.fullmatch(word)]
+    if wrong:
+        return Failure(f'{wrong[0]!r} is not a name')
+    return Success(frozenset(cell.split()))
+
+
+@dataclass(frozen=True, slots=True)
+class CountReader:
+    """Reads whole numbers within bounds."""
+
+    lowest: int
+    highest: int
+
+    def __call__(self, cell: str) -> Cell:
+        """Return the number, or what is wrong with the cell."""
+        if not re.fullmatch('[0-9]{1,9}', cell):
+            return Failure(f'{cell!r} is not a whole number')
+        number = int(cell)
+        if self.lowest <= number <= self.highest:
+            return Success(number)
+        return Failure(f'{number} is not within {self.lowest}..{self.highest}')
+
+
+@dataclass(frozen=True, slots=True)
+class DecimalReader:
+    """Reads decimal numbers within bounds."""
+
+    lowest: float
+    highest: float
+
+    def __call__(self, cell: str) -> Cell:
+        """Return the number, or what is wrong with the cell."""
+        if not re.fullmatch(r'[0-9]{1,9}(\.[0-9]{1,6})?', cell):
+            return Failure(f'{cell!r} is not a decimal number')
+        number = float(cell)
+        if self.lowest <= number <= self.highest:
+            return Success(number)
+        return Failure(f'{cell} is not within {self.lowest}..{self.highest}')
+
+
+ROUTE_COLUMNS = (
+    Column('route', read_name),
+    Column('authority', read_authority),
+    Column('path_prefix', read_path_prefix),
+    Column('operations', read_operations),
+    Column('pool', read_name),
+    Column('idempotent', read_operation_list),
+    Column('tenant', read_tenant),
+    Column('deadline_ms', CountReader(1, 600_000)),
+    Column('retry_percent', DecimalReader(0, 100)),
+)
+
+POOL_COLUMNS = (
+    Column('pool', read_pool_name),
+    Column('service', read_name),
+    Column('availability_zones', read_name_list),
+    Column('slots', CountReader(1, 10_000)),
+    Column('connections', CountReader(1, 100_000)),
+    Column('cold_limit', CountReader(1, 10_000)),
+    Column('probes_per_s', DecimalReader(0, 1000)),
+)
