--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/__init__.py
@@ -0,0 +1,26 @@
+"""Picks one upstream among those that every rule allows."""
+
+from figdoor_decisions.choosers._baselines import (
+    LeastRequests,
+    PowerOfTwo,
+    RandomChoice,
+    RoundRobin,
+)
+from figdoor_kernel import Extension, Registry
+
+__all__ = (
+    'LeastRequests',
+    'PowerOfTwo',
+    'RandomChoice',
+    'RoundRobin',
+    'register',
+)
+
+
+def register(registry: Registry) -> None:
+    """Provide the baselines."""
+    registry.provide(Extension.CHOOSER, 'random', RandomChoice)
+    registry.provide(Extension.CHOOSER, 'round-robin', RoundRobin)
+    registry.provide(Extension.CHOOSER, 'least-requests', LeastRequests)
+    registry.provide(Extension.CHOOSER, 'power-of-two', PowerOfTwo)
+    registry.provide(Extension.CHOOSER, 'adaptive', PowerOfTwo)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/__init__.py
@@ -0,0 +1,14 @@
+"""Which pair of tables is in force, and how long a node may trust it."""
+
+from figdoor_decisions.configuration._acceptance import Acceptance
+from figdoor_decisions.configuration._lease import ConfigLease, LeaseRule
+from figdoor_kernel import Extension, Registry
+
+__all__ = ('Acceptance', 'ConfigLease', 'LeaseRule', 'register')
+
+
+def register(registry: Registry) -> None:
+    """Provide acceptance, the lease and the rule that checks it."""
+    registry.provide(Extension.SERVICE, 'acceptance', Acceptance)
+    registry.provide(Extension.SERVICE, 'config-lease', ConfigLease)
+    registry.provide(Extension.ADMISSION_RULE, 'config-lease', LeaseRule)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/eligibility/__init__.py
@@ -0,0 +1,19 @@
+"""Keeps new work off availability zones out of service and leaving upstreams."""
+
+from figdoor_decisions.eligibility._rules import (
+    AvailabilityZoneRule,
+    LeavingRule,
+)
+from figdoor_kernel import Extension, Registry
+
+__all__ = ('AvailabilityZoneRule', 'LeavingRule', 'register')
+
+
+def register(registry: Registry) -> None:
+    """Provide both rules."""
+    registry.provide(
+        Extension.CANDIDATE_RULE,
+        'availability-zone',
+        AvailabilityZoneRule,
+    )
+    registry.provide(Extension.CANDIDATE_RULE, 'leaving', LeavingRule)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
@@ -0,0 +1,103 @@
+"""Rules about where an upstream is and whether it leaves."""
+
+from figdoor_kernel import (
+    InstanceId,
+    NewsReceived,
+    NewsWanted,
+    Node,
+    ReportSeen,
+    RoutedCall,
+    Upstream,
+    UpstreamDraining,
+    UpstreamId,
+    Verdict,
+    VmState,
+)
+
+
+class AvailabilityZoneRule:
+    """Denies upstreams whose availability zone is out of service.
+
+    The tables in force now decide, not those that were in force when the
+    call was opened, so that a call that waited obeys a newer table.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Read the tables of this node."""
+        self._node = node
+
+    def judge(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> Verdict:
+        """Allow upstreams in the pool's availability zones."""
+        tables = self._node.tables
+        pool = tables.pools.get(routed.pool.name) if tables else None
+        if pool is None or pool.service != upstream.service:
+            return Verdict.DENY
+        if upstream.availability_zone in pool.availability_zones:
+            return Verdict.ALLOW
+        return Verdict.DENY
+
+    def confirm(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> bool:
+        """Apply the same rule when the request is sent."""
+        return self.judge(upstream, routed, now_ms) is Verdict.ALLOW
+
+
+class LeavingRule:
+    """Denies upstreams that leave, by the VM list or by their own report.
+
+    A draining mark belongs to one instance and is told to all peers.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow load reports and news."""
+        self._node = node
+        self._draining: dict[UpstreamId, InstanceId] = {}
+        node.events.subscribe(ReportSeen, self._on_report)
+        node.events.subscribe(NewsReceived, self._on_news)
+
+    def judge(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> Verdict:
+        """Allow upstreams that are listed as live and do not drain."""
+        listed = self._node.fleet.find(upstream.upstream_id)
+        if listed is not upstream or upstream.vm_state is not VmState.LIVE:
+            return Verdict.DENY
+        if upstream.upstream_id in self._draining:
+            return Verdict.DENY
+        return Verdict.ALLOW
+
+    def confirm(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> bool:
+        """Apply the same rule when the request is sent."""
+        return self.judge(upstream, routed, now_ms) is Verdict.ALLOW
+
+    def _on_report(self, event: ReportSeen) -> None:
+        known = self._draining.get(event.upstream)
+        instance = event.report.instance
+        if event.report.draining:
+            if known != instance:
+                self._draining[event.upstream] = instance
+                news = UpstreamDraining(event.upstream, instance)
+                self._node.events.publish(NewsWanted(news, event.now_ms))
+        elif known is not None and known != instance:
+            self._draining.pop(event.upstream)
+
+    def _on_news(self, event: NewsReceived) -> None:
+        if isinstance(event.news, UpstreamDraining):
+            self._draining[event.news.upstream] = event.news.instance
