--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The figdoor load balancer process: everything that does I/O."""
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -0,0 +1,61 @@
+"""The command ``figdoor``: reads settings and runs one node."""
+
+import os
+import signal
+import sys
+from functools import partial
+
+from loguru import logger
+from returns.pipeline import is_successful
+
+from figdoor_gateway.application import build_node
+from figdoor_gateway.lifecycle import Lifecycle
+from figdoor_gateway.logs import configure_logs
+from figdoor_gateway.loop import reactor
+from figdoor_gateway.settings import (
+    Settings,
+    describe_options,
+    read_settings,
+)
+from figdoor_kernel import (
+    Extension,
+    FigdoorError,
+    load_plugins,
+    render_findings,
+)
+
+EXIT_SETTINGS = 2
+_USAGE = 'figdoor runs one node of the load balancer.\n\nSettings:\n'
+
+
+def run() -> None:
+    """Run the process; the entry point of the command."""
+    if {'--help', '-h'} & set(sys.argv[1:]):
+        sys.stdout.write(f'{_USAGE}{describe_options()}\n')
+        return
+    read = read_settings(sys.argv, os.environ)
+    if not is_successful(read):
+        sys.stderr.write(f'{render_findings(read.failure())}\n')
+        sys.exit(EXIT_SETTINGS)
+    try:
+        run_node(read.unwrap())
+    except FigdoorError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_SETTINGS)
+
+
+def run_node(settings: Settings) -> None:
+    """Run a node until it is told to stop."""
+    configure_logs(settings.log_format, settings.log_level)
+    node = build_node(settings, load_plugins())
+    lifecycle: Lifecycle = node.part(Extension.SERVICE, 'lifecycle')
+    on_signal = partial(_stop, lifecycle)
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    reactor.callWhenRunning(lifecycle.run)
+    reactor.run(installSignalHandlers=False)
+
+
+def _stop(lifecycle: Lifecycle, *_: object) -> None:
+    logger.info('asked to stop')
+    reactor.callFromThread(lifecycle.shut_down, reactor.stop)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_answers.py
@@ -0,0 +1,68 @@
+"""How outcomes and refusals are told to callers."""
+
+from figdoor_gateway.headers import OUTCOME, REASON
+from figdoor_kernel import Outcome, Refusal
+
+_STATUSES = {
+    Refusal.NO_ROUTE: (404, b'Not Found'),
+    Refusal.TENANT_SHARE: (429, b'Too Many Requests'),
+    Refusal.QUARANTINED: (508, b'Loop Detected'),
+}
+_NOT_RUN = (503, b'Service Unavailable')
+_LOST = (502, b'Bad Gateway')
+_LATE = (504, b'Gateway Timeout')
+
+
+def render_outcome(
+    outcome: Outcome,
+    refusal: Refusal | None,
+    late: bool,
+    keep_alive: bool,
+    bodiless: bool = False,
+) -> bytes:
+    """Return a whole answer that tells an outcome other than answered.
+
+    ``late`` says that the deadline passed before the outcome was known.
+    """
+    if outcome is Outcome.NOT_RUN:
+        status = _STATUSES.get(refusal, _NOT_RUN) if refusal else _NOT_RUN
+    else:
+        status = _LATE if late else _LOST
+    reason = refusal.value if refusal else 'upstream'
+    text = f'{outcome.value}: {reason}\n'.encode()
+    headers = (
+        (OUTCOME, outcome.value.encode()),
+        (REASON, reason.encode()),
+    )
+    return render_answer(status, headers, text, keep_alive, bodiless)
+
+
+def render_error(status: int, phrase: bytes) -> bytes:
+    """Return the answer to a malformed request; the connection closes."""
+    headers = (
+        (OUTCOME, Outcome.NOT_RUN.value.encode()),
+        (REASON, b'malformed-request'),
+    )
+    return render_answer((status, phrase), headers, b'%b\n' % phrase, False)
+
+
+def render_answer(
+    status: tuple[int, bytes],
+    headers: tuple[tuple[bytes, bytes], ...],
+    text: bytes,
+    keep_alive: bool,
+    bodiless: bool = False,
+) -> bytes:
+    """Return a whole answer with a text body.
+
+    The answer to a ``HEAD`` request is bodiless but tells the length.
+    """
+    lines = [b'HTTP/1.1 %d %b' % status]
+    lines.extend(b'%b: %b' % pair for pair in headers)
+    lines.append(b'content-type: text/plain; charset=utf-8')
+    lines.append(b'content-length: %d' % len(text))
+    if not keep_alive:
+        lines.append(b'connection: close')
+    lines.append(b'\r\n')
+    head = b'\r\n'.join(lines)
+    return head if bodiless else b''.join((head, text))
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_request.py
@@ -0,0 +1,66 @@
+"""One request of a caller as it is read."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from figdoor_gateway.headers import DEADLINE
+from figdoor_kernel import Call, Fingerprint
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """Method, target and headers, with the body as far as it has come.
+
+    ``on_data`` and ``on_end`` are set once somebody wants the rest of a body
+    that is too large to hold. ``keep_alive`` is what the caller allows.
+    """
+
+    method: bytes = b''
+    target: bytes = b''
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    http10: bool = False
+    keep_alive: bool = True
+    body: bytearray = field(default_factory=bytearray)
+    body_length: int | None = 0
+    body_bytes: int = 0
+    body_complete: bool = False
+    on_data: Callable[[bytes], None] | None = None
+    on_end: Callable[[], None] | None = None
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first header of that name."""
+        for known, text in self.headers:
+            if known == name:
+                return text
+        return None
+
+    def as_call(self) -> Call:
+        """Return the request as the decisions see it."""
+        attributes = {
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in self.headers
+        }
+        authority = attributes.get('host', '').lower().partition(':')[0]
+        return Call(
+            self.method.decode('latin-1'),
+            authority,
+            self.target.decode('latin-1'),
+            self._fingerprint(),
+            self._time_left_ms(),
+            self.body_complete,
+            attributes,
+        )
+
+    def _fingerprint(self) -> Fingerprint:
+        digest = xxhash.xxh3_64(self.method)
+        digest.update(b'\0%b\0' % self.target)
+        digest.update(self.body)
+        return Fingerprint(digest.intdigest())
+
+    def _time_left_ms(self) -> float | None:
+        text = self.header(DEADLINE)
+        if text is None or not text.isdigit():
+            return None
+        return float(text)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -0,0 +1,151 @@
+"""Histograms per route and tenant, counters per outcome."""
+
+from typing import Any
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from figdoor_kernel import (
+    AttemptEnded,
+    CallClosed,
+    Node,
+    ProbeWanted,
+    Tick,
+)
+
+MS_PER_SECOND = 1000
+MAX_TENANTS = 64
+OTHER_TENANTS = 'other'
+PAUSE_MS = 500
+_BUCKETS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.004,
+    0.008,
+    0.016,
+    0.032,
+    0.064,
+    0.128,
+    0.256,
+    0.512,
+    1,
+    2,
+    5,
+)
+_ROUTE = 'route'
+_TENANT = 'tenant'
+_OUTCOME = 'outcome'
+
+
+class Metrics:
+    """Follows the events and renders them on demand."""
+
+    def __init__(self, node: Node) -> None:
+        """Create all metrics in a registry of their own."""
+        self._node = node
+        self._collectors = CollectorRegistry()
+        self._tenants: set[str] = set()
+        self._children: dict[tuple[str, ...], tuple[Any, Any]] = {}
+        self._last_tick_ms: float | None = None
+        self._make_call_metrics()
+        self._make_node_metrics()
+        node.events.subscribe(CallClosed, self._on_closed)
+        node.events.subscribe(AttemptEnded, self._on_attempt)
+        node.events.subscribe(ProbeWanted, self._on_probe)
+        node.events.subscribe(Tick, self._on_tick)
+
+    def start(self) -> None:
+        """Need no start."""
+
+    def stop(self) -> None:
+        """Need no stop."""
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        tables = self._node.tables
+        self._revision.set(tables.revision if tables else 0)
+        return generate_latest(self._collectors)
+
+    def _make_call_metrics(self) -> None:
+        self._latency = Histogram(
+            'figdoor_call_seconds',
+            'Time from the request to the end of its answer',
+            (_ROUTE, _TENANT),
+            buckets=_BUCKETS_S,
+            registry=self._collectors,
+        )
+        self._calls = Counter(
+            'figdoor_calls',
+            'Calls by outcome and reason of refusal',
+            (_ROUTE, _TENANT, _OUTCOME, 'reason'),
+            registry=self._collectors,
+        )
+        self._attempts = Counter(
+            'figdoor_attempts',
+            'Attempts by how they ended',
+            ('state',),
+            registry=self._collectors,
+        )
+
+    def _make_node_metrics(self) -> None:
+        self._probes = Counter(
+            'figdoor_probes',
+            'Probes sent, by upstream',
+            ('upstream',),
+            registry=self._collectors,
+        )
+        self._pauses = Counter(
+            'figdoor_pauses',
+            'Times at which the process did not run for half a second',
+            registry=self._collectors,
+        )
+        self._revision = Gauge(
+            'figdoor_tables_revision',
+            'Revision of the tables in force',
+            registry=self._collectors,
+        )
+
+    def _on_closed(self, event: CallClosed) -> None:
+        route = event.routed.route.name if event.routed else ''
+        tenant = self._bounded(event.routed.tenant) if event.routed else ''
+        reason = event.refusal.value if event.refusal else ''
+        key = (route, tenant, event.outcome.value, reason)
+        children = self._children.get(key)
+        if children is None:
+            children = (
+                self._latency.labels(route, tenant),
+                self._calls.labels(*key),
+            )
+            self._children[key] = children
+        children[0].observe(event.latency_ms / MS_PER_SECOND)
+        children[1].inc()
+
+    def _bounded(self, tenant: str) -> str:
+        """Return the tenant, or one common name once there are many.
+
+        Callers name tenants, and each name costs memory in the histograms.
+        """
+        if tenant in self._tenants:
+            return tenant
+        if len(self._tenants) >= MAX_TENANTS:
+            return OTHER_TENANTS
+        self._tenants.add(tenant)
+        return tenant
+
+    def _on_attempt(self, event: AttemptEnded) -> None:
+        self._attempts.labels(event.state.value).inc()
+
+    def _on_probe(self, event: ProbeWanted) -> None:
+        self._probes.labels(event.upstream).inc()
+
+    def _on_tick(self, event: Tick) -> None:
+        last_ms = self._last_tick_ms
+        self._last_tick_ms = event.now_ms
+        if last_ms is not None and event.now_ms - last_ms > PAUSE_MS:
+            self._pauses.inc()
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
@@ -0,0 +1,13 @@
+"""Reads the platform: configuration service and VM list."""
+
+from figdoor_gateway.platform._config_source import HttpConfigSource
+from figdoor_gateway.platform._vm_list_source import HttpVmListSource
+from figdoor_kernel import Extension, Registry
+
+__all__ = ('HttpConfigSource', 'HttpVmListSource', 'register')
+
+
+def register(registry: Registry) -> None:
+    """Provide both sources."""
+    registry.provide(Extension.CONFIG_SOURCE, 'http', HttpConfigSource)
+    registry.provide(Extension.VM_LIST_SOURCE, 'http', HttpVmListSource)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -0,0 +1,119 @@
+"""What front ends and upstream transports agree on.
+
+Both sides speak in these terms, so that either can be replaced alone.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from figdoor_kernel import LoadReport, Upstream
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+@dataclass(slots=True)
+class OutboundRequest:
+    """A request as it goes to an upstream.
+
+    ``body`` holds the part that has arrived; ``body_complete`` says whether
+    that is all. ``body_length`` is ``None`` for a body of unknown length.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    body_complete: bool
+    body_length: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of an answer, without hop-by-hop headers.
+
+    ``body_length`` is ``None`` where the body comes in chunks.
+    """
+
+    status: int
+    reason: bytes
+    headers: Headers
+    body_length: int | None
+    shed: bool
+    inner_outcome: bool
+    report: LoadReport | None
+
+
+class AnswerReceiver(Protocol):
+    """Hears what becomes of one attempt.
+
+    Exactly one of ``unsent``, ``complete`` and ``lost`` ends it.
+    """
+
+    def may_send(self) -> bool:
+        """Check once more, right before the first byte leaves."""
+
+    def unsent(self, refused: bool) -> None:
+        """Note that no byte left; ``refused`` where no connection opened."""
+
+    def head(self, head: AnswerHead) -> None:
+        """Take the head of the answer."""
+
+    def body(self, data: bytes) -> None:
+        """Take a part of the answer's body."""
+
+    def complete(self) -> None:
+        """Note the end of a whole answer."""
+
+    def lost(self, connection_died: bool) -> None:
+        """Note that the request was sent and its end is not known."""
+
+
+class Sending(Protocol):
+    """One attempt under way in an upstream transport."""
+
+    def cancel(self) -> None:
+        """Give up; nothing is reported to the receiver afterwards."""
+
+    def send_body(self, data: bytes) -> None:
+        """Send a further part of the request's body."""
+
+    def finish_body(self) -> None:
+        """Note that the request's body is complete."""
+
+    def pause(self) -> None:
+        """Stop reading the answer until ``resume``."""
+
+    def resume(self) -> None:
+        """Go on reading the answer."""
+
+
+class UpstreamTransport(Protocol):
+    """Carries requests to upstreams."""
+
+    def send(
+        self,
+        upstream: Upstream,
+        request: OutboundRequest,
+        receiver: AnswerReceiver,
+    ) -> Sending:
+        """Send a request over a warm or a new connection."""
+
+    def stop(self) -> None:
+        """Close all idle connections."""
+
+
+class FrontEnd(Protocol):
+    """Takes callers' requests."""
+
+    def start(self) -> None:
+        """Open the listener."""
+
+    def drain(self) -> None:
+        """Ask callers to close their connections after the next answer."""
+
+    def close(self, on_idle: Callable[[], None]) -> None:
+        """Close the listener and call back once nothing is in progress."""
+
+    def abort(self) -> None:
+        """End everything that is still in progress."""
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/__init__.py
@@ -0,0 +1,17 @@
+"""Settings of a node: declared options, read from flags and environment."""
+
+from figdoor_gateway.settings._options import OPTIONS, Address, Option
+from figdoor_gateway.settings._settings import (
+    Settings,
+    describe_options,
+    read_settings,
+)
+
+__all__ = (
+    'OPTIONS',
+    'Address',
+    'Option',
+    'Settings',
+    'describe_options',
+    'read_settings',
+)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -0,0 +1,190 @@
+"""Declared options: name, default, help and how the text is read."""
+
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from ipaddress import ip_address
+from typing import Any
+from urllib.parse import urlsplit
+
+from returns.result import Failure, Result, Success
+
+from figdoor_gateway.logs import LOG_FORMATS
+
+LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+MAX_PORT = 65_535
+_NAME = re.compile('[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}')
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Render as ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One setting; ``default`` is a text like the one an operator writes."""
+
+    name: str
+    default: str
+    read: Callable[[str], Result[Any, str]]
+    description: str
+
+    @property
+    def environment_name(self) -> str:
+        """The environment variable that sets this option."""
+        return f'FIGDOOR_{self.name.upper()}'
+
+
+def read_name(text: str) -> Result[str, str]:
+    """Read a short name."""
+    if _NAME.fullmatch(text):
+        return Success(text)
+    return Failure(f'{text!r} is not a name')
+
+
+def read_address(text: str) -> Result[Address, str]:
+    """Read ``host:port``, where host is an IP number."""
+    host, _, port = text.rpartition(':')
+    if not port.isdecimal() or int(port) > MAX_PORT:
+        return Failure(f'{text!r} has no port')
+    try:
+        ip_address(host.strip('[]'))
+    except ValueError:
+        return Failure(f'{host!r} is not an IP number')
+    return Success(Address(host.strip('[]'), int(port)))
+
+
+def read_url(text: str) -> Result[str, str]:
+    """Read an ``http`` address."""
+    parts = urlsplit(text)
+    if parts.scheme == 'http' and parts.netloc:
+        return Success(text.rstrip('/'))
+    return Failure(f'{text!r} is not an http:// address')
+
+
+@dataclass(frozen=True, slots=True)
+class NumberReader:
+    """Reads numbers within bounds."""
+
+    lowest: float
+    highest: float
+
+    def __call__(self, text: str) -> Result[float, str]:
+        """Return the number, or what is wrong with the text."""
+        try:
+            number = float(text)
+        except ValueError:
+            return Failure(f'{text!r} is not a number')
+        if self.lowest <= number <= self.highest:
+            return Success(number)
+        return Failure(f'{text} is not within {self.lowest}..{self.highest}')
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceReader:
+    """Reads one of several words."""
+
+    choices: tuple[str, ...]
+
+    def __call__(self, text: str) -> Result[str, str]:
+        """Return the word, or what is wrong with it."""
+        if text in self.choices:
+            return Success(text)
+        return Failure(f'{text!r} is none of {", ".join(self.choices)}')
+
+
+_BYTES = NumberReader(1, 1_000_000_000)
+_MILLISECONDS = NumberReader(0, 3_600_000)
+
+OPTIONS = (
+    Option('node_id', '', read_name, 'name of this VM in the VM list'),
+    Option(
+        'availability_zone',
+        '',
+        read_name,
+        'availability zone of this VM',
+    ),
+    Option(
+        'listen',
+        '0.0.0.0:8080',
+        read_address,
+        'IP number and port for callers',
+    ),
+    Option(
+        'operator_listen',
+        '127.0.0.1:8081',
+        read_address,
+        'IP number and port of health, metrics and operator pages',
+    ),
+    Option(
+        'peer_listen',
+        '0.0.0.0:8082',
+        read_address,
+        'IP number and port for other nodes, UDP and TCP',
+    ),
+    Option('platform_url', '', read_url, 'base address of the platform'),
+    Option('chooser', 'adaptive', read_name, 'policy that picks upstreams'),
+    Option(
+        'log_format',
+        'text',
+        ChoiceReader(LOG_FORMATS),
+        'form of log lines',
+    ),
+    Option(
+        'log_level',
+        'INFO',
+        ChoiceReader(LOG_LEVELS),
+        'lowest level that is logged',
+    ),
+    Option(
+        'stop_grace_ms',
+        '5000',
+        _MILLISECONDS,
+        'time between turning unready and closing the listener',
+    ),
+    Option(
+        'connect_timeout_ms',
+        '250',
+        NumberReader(1, 60_000),
+        'time allowed for opening a connection to an upstream',
+    ),
+    Option(
+        'header_timeout_ms',
+        '10000',
+        NumberReader(1, 600_000),
+        'time allowed for a caller to send a whole request head',
+    ),
+    Option(
+        'idle_timeout_ms',
+        '60000',
+        NumberReader(1, 3_600_000),
+        'time after which an idle connection is closed',
+    ),
+    Option(
+        'max_header_bytes',
+        '32768',
+        _BYTES,
+        'largest request or answer head',
+    ),
+    Option('max_body_bytes', '10485760', _BYTES, 'largest request body'),
+    Option(
+        'max_buffered_body_bytes',
+        '65536',
+        _BYTES,
+        'largest request body that is held so that it can be sent again',
+    ),
+    Option(
+        'max_caller_connections',
+        '10000',
+        NumberReader(1, 1_000_000),
+        'connections from callers open at once',
+    ),
+)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -0,0 +1,112 @@
+"""All settings read together, with every finding."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from absl import flags
+from returns.result import Failure, Result, Success
+
+from figdoor_gateway.settings._options import OPTIONS, Address, Option
+from figdoor_kernel import Finding, Place
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """The settings of one node; each field is explained by its option."""
+
+    node_id: str
+    availability_zone: str
+    listen: Address
+    operator_listen: Address
+    peer_listen: Address
+    platform_url: str
+    chooser: str
+    log_format: str
+    log_level: str
+    stop_grace_ms: float
+    connect_timeout_ms: float
+    header_timeout_ms: float
+    idle_timeout_ms: float
+    max_header_bytes: float
+    max_body_bytes: float
+    max_buffered_body_bytes: float
+    max_caller_connections: float
+
+
+ReadSettings = Result[Settings, tuple[Finding, ...]]
+
+
+def read_settings(
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+) -> ReadSettings:
+    """Read flags, then environment variables, then defaults.
+
+    ``arguments`` starts with the program's name. All findings are returned
+    together.
+    """
+    parsed = _define_flags()
+    findings = _parse_flags(parsed, arguments)
+    fields: dict[str, Any] = {}
+    for option in OPTIONS:
+        source, text = _text_of(option, parsed, environment)
+        match option.read(text):
+            case Success(setting):
+                fields[option.name] = setting
+            case Failure(message):
+                hint = message if text else f'is not set; {option.description}'
+                findings.append(Finding(Place(source), hint))
+    if findings:
+        return Failure(tuple(findings))
+    return Success(Settings(**fields))
+
+
+def describe_options() -> str:
+    """Return the text of ``--help``."""
+    lines = []
+    for option in OPTIONS:
+        default = f' (default {option.default})' if option.default else ''
+        lines.append(f'  --{option.name}: {option.description}{default}')
+        lines.append(f'      environment: {option.environment_name}')
+    return '\n'.join(lines)
+
+
+def _define_flags() -> flags.FlagValues:
+    values = flags.FlagValues()
+    for option in OPTIONS:
+        flags.DEFINE_string(
+            option.name,
+            None,
+            option.description,
+            flag_values=values,
+        )
+    return values
+
+
+def _parse_flags(
+    values: flags.FlagValues,
+    arguments: Sequence[str],
+) -> list[Finding]:
+    try:
+        rest = values(list(arguments))
+    except flags.Error as error:
+        values.mark_as_parsed()
+        return [Finding(Place('flags'), str(error))]
+    return [
+        Finding(Place('flags'), f'unexpected argument {word!r}')
+        for word in rest[1:]
+    ]
+
+
+def _text_of(
+    option: Option,
+    values: flags.FlagValues,
+    environment: Mapping[str, str],
+) -> tuple[str, str]:
+    flag = values[option.name].value
+    if flag is not None:
+        return f'--{option.name}', flag
+    if option.environment_name in environment:
+        return option.environment_name, environment[option.environment_name]
+    return f'--{option.name}', option.default
