--- /dev/null
+++ b/packages/figdoor-ctl/src/figdoor_ctl/commands/_check.py
@@ -0,0 +1,57 @@
+"""``check``: says before publishing what a node would say about tables."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import TextIO
+
+from returns.result import Failure, Success
+
+from figdoor_ctl.exits import Exit
+from figdoor_kernel import Revision, render_findings
+from figdoor_tables import POOLS_TABLE, ROUTES_TABLE, read_tables
+
+USAGE = 'usage: figdoor-ctl check ROUTES.csv POOLS.csv'
+
+
+def check(arguments: Sequence[str], out: TextIO) -> Exit:
+    """Check both tables and print every finding with its place.
+
+    The files are told apart by their names, which must contain ``routes``
+    and ``pools``.
+    """
+    texts: dict[str, str] = {}
+    for argument in arguments:
+        table = _table_of(argument)
+        if table is None or table in texts:
+            out.write(f'{USAGE}\n')
+            return Exit.USAGE
+        try:
+            texts[table] = Path(argument).read_text(encoding='utf-8')
+        except (OSError, UnicodeDecodeError) as error:
+            out.write(f'{argument}: cannot be read: {error}\n')
+            return Exit.USAGE
+    if len(texts) != 2:
+        out.write(f'{USAGE}\n')
+        return Exit.USAGE
+    return _report(texts, out)
+
+
+def _report(texts: dict[str, str], out: TextIO) -> Exit:
+    match read_tables(Revision(0), texts[ROUTES_TABLE], texts[POOLS_TABLE]):
+        case Success(tables):
+            out.write(
+                f'fine: {len(tables.routes)} routes, '
+                f'{len(tables.pools)} pools\n',
+            )
+            return Exit.FINE
+        case Failure(findings):
+            out.write(f'{render_findings(findings)}\n')
+    return Exit.FINDINGS
+
+
+def _table_of(path: str) -> str | None:
+    name = Path(path).name
+    for table in (ROUTES_TABLE, POOLS_TABLE):
+        if table in name:
+            return table
+    return None
--- /dev/null
+++ b/standins/src/figdoor_standins/processes.py
@@ -0,0 +1,279 @@
+"""Starts gateways and stand-ins as separate processes on loopback.
+
+Used by the demo, the benches and the process tests. A figdoor process never
+starts another one; only these scripts do.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+from contextlib import ExitStack
+from pathlib import Path
+
+HOST = '127.0.0.1'
+START_TIMEOUT_S = 20
+BIN = Path(sys.executable).parent
+
+
+def free_port():
+    """Return a port that nobody listened on a moment ago."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def http(port, path, method='GET', body=None, headers=None, timeout_s=10):
+    """Return status, headers and body of one request."""
+    request = urllib.request.Request(
+        f'http://{HOST}:{port}{path}',
+        data=body,
+        method=method,
+        headers=headers or {},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=timeout_s) as answer:
+            return answer.status, dict(answer.headers), answer.read()
+    except urllib.error.HTTPError as error:
+        with error:
+            return error.code, dict(error.headers), error.read()
+
+
+def wait_until(condition, timeout_s=START_TIMEOUT_S, what='condition'):
+    """Poll until the condition holds; raises ``TimeoutError``."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        try:
+            if condition():
+                return
+        except OSError:
+            pass
+        time.sleep(0.02)
+    raise TimeoutError(f'not reached within {timeout_s} s: {what}')
+
+
+class Process:
+    """One child process, ended at the latest when the fleet closes."""
+
+    def __init__(self, command, environment=None, log_path=os.devnull):
+        with open(log_path, 'ab') as log:
+            self.child = subprocess.Popen(
+                command,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **(environment or {})},
+            )
+
+    def send(self, signal_number):
+        """Send a signal, if the process still runs."""
+        if self.child.poll() is None:
+            self.child.send_signal(signal_number)
+
+    def kill(self):
+        """End the process at once and wait for it."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.child.wait()
+
+    def stop(self, timeout_s=30):
+        """Ask the process to stop; return its exit code."""
+        self.send(signal.SIGTERM)
+        return self.child.wait(timeout_s)
+
+
+class UpstreamProcess(Process):
+    """A stand-in upstream."""
+
+    def __init__(self, vm_id, service, zone, port=None, **options):
+        self.vm_id = vm_id
+        self.service = service
+        self.zone = zone
+        self.port = port or free_port()
+        self.state = 'live'
+        flags = [f'--{name}={text}' for name, text in options.items()]
+        super().__init__(
+            [
+                sys.executable,
+                '-m',
+                'figdoor_standins.upstream',
+                f'--port={self.port}',
+                *flags,
+            ],
+        )
+
+    def control(self, **fields):
+        """Set fields of the upstream's behaviour."""
+        query = '&'.join(f'{name}={text}' for name, text in fields.items())
+        http(self.port, f'/_control?{query}', 'POST')
+
+    def counts(self):
+        """Return what the upstream counted."""
+        return json.loads(http(self.port, '/_executions')[2])
+
+    def is_up(self):
+        """Tell whether it answers."""
+        return http(self.port, '/_executions')[0] == 200
+
+    def row(self):
+        """Return its row of the VM list."""
+        return _row(self.vm_id, self.service, self.zone, self.port, self.state)
+
+
+class GatewayProcess(Process):
+    """A figdoor node."""
+
+    def __init__(self, vm_id, zone, platform_port, log_path, **settings):
+        self.vm_id = vm_id
+        self.zone = zone
+        self.port = free_port()
+        self.operator_port = free_port()
+        self.peer_port = free_port()
+        self.state = 'live'
+        environment = {
+            'FIGDOOR_NODE_ID': vm_id,
+            'FIGDOOR_AVAILABILITY_ZONE': zone,
+            'FIGDOOR_LISTEN': f'{HOST}:{self.port}',
+            'FIGDOOR_OPERATOR_LISTEN': f'{HOST}:{self.operator_port}',
+            'FIGDOOR_PEER_LISTEN': f'{HOST}:{self.peer_port}',
+            'FIGDOOR_PLATFORM_URL': f'http://{HOST}:{platform_port}',
+            'FIGDOOR_STOP_GRACE_MS': '300',
+        }
+        for name, text in settings.items():
+            environment[f'FIGDOOR_{name.upper()}'] = str(text)
+        super().__init__([str(BIN / 'figdoor')], environment, log_path)
+
+    def is_ready(self):
+        """Tell whether it wants callers."""
+        return http(self.operator_port, '/readyz')[0] == 200
+
+    def in_force(self):
+        """Return what is in force there."""
+        return json.loads(http(self.operator_port, '/in-force')[2])
+
+    def row(self):
+        """Return its row of the VM list."""
+        return _row(
+            self.vm_id,
+            'figdoor',
+            self.zone,
+            self.peer_port,
+            self.state,
+        )
+
+
+class PlatformProcess(Process):
+    """The stand-in platform."""
+
+    def __init__(self):
+        self.port = free_port()
+        super().__init__(
+            [
+                sys.executable,
+                '-m',
+                'figdoor_standins.platform',
+                f'--port={self.port}',
+            ],
+        )
+
+    def is_up(self):
+        """Tell whether it answers."""
+        return http(self.port, '/_calls')[0] == 200
+
+    def publish(self, routes, pools, revision=None):
+        """Publish both tables; return the revision."""
+        value = {'routes': routes, 'pools': pools}
+        if revision is not None:
+            value['revision'] = revision
+        return int(self._post('/_publish', value))
+
+    def list_vms(self, members):
+        """Publish the VM list."""
+        self._post('/_vms', {'vms': [member.row() for member in members]})
+
+    def set_down(self, down):
+        """Answer everything with 500, or no longer."""
+        http(self.port, f'/_mode?down={int(down)}', 'POST')
+
+    def calls(self):
+        """Return how many reads there were."""
+        return json.loads(http(self.port, '/_calls')[2])
+
+    def _post(self, path, value):
+        return http(self.port, path, 'POST', json.dumps(value).encode())[2]
+
+
+class Deployment:
+    """A platform, upstreams and gateways; a context manager.
+
+    Leaving it ends every process that it started.
+    """
+
+    def __init__(self, log_folder=None):
+        self.log_folder = log_folder
+        self.platform = None
+        self.upstreams = []
+        self.gateways = []
+        self._stack = ExitStack()
+
+    def __enter__(self):
+        self.platform = self._own(PlatformProcess())
+        wait_until(self.platform.is_up, what='platform up')
+        return self
+
+    def __exit__(self, *_):
+        self._stack.close()
+
+    def add_upstream(self, vm_id, service, zone, **options):
+        """Start an upstream."""
+        upstream = self._own(UpstreamProcess(vm_id, service, zone, **options))
+        self.upstreams.append(upstream)
+        return upstream
+
+    def add_gateway(self, vm_id, zone, **settings):
+        """Start a gateway."""
+        log_path = os.devnull
+        if self.log_folder:
+            log_path = str(Path(self.log_folder) / f'{vm_id}.log')
+        gateway = self._own(
+            GatewayProcess(
+                vm_id,
+                zone,
+                self.platform.port,
+                log_path,
+                **settings,
+            ),
+        )
+        self.gateways.append(gateway)
+        return gateway
+
+    def list_vms(self):
+        """Publish all members as the VM list."""
+        self.platform.list_vms([*self.upstreams, *self.gateways])
+
+    def wait_ready(self):
+        """Wait until everything answers and gateways want callers."""
+        for upstream in self.upstreams:
+            wait_until(upstream.is_up, what=f'{upstream.vm_id} up')
+        self.list_vms()
+        for gateway in self.gateways:
+            wait_until(gateway.is_ready, what=f'{gateway.vm_id} ready')
+
+    def _own(self, process):
+        self._stack.callback(process.kill)
+        return process
+
+
+def _row(vm_id, service, zone, port, state):
+    return {
+        'id': vm_id,
+        'service': service,
+        'availability_zone': zone,
+        'host': HOST,
+        'port': port,
+        'state': state,
+    }
--- /dev/null
+++ b/standins/src/figdoor_standins/upstream.py
@@ -0,0 +1,244 @@
+"""A stand-in upstream: one worker with slots, reports and failure switches.
+
+``python -m figdoor_standins.upstream --port 9001 --slots 6`` serves requests
+on loopback. ``GET /_executions`` tells how often each request id
+(``x-request-id``) was run, ``GET /load`` is the probe, and
+``POST /_control?name=value`` sets a field of ``Behaviour``, for example
+``/_control?service_ms=50&draining=1``.
+"""
+
+import json
+import os
+import signal
+import sys
+from collections import Counter, deque
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
+
+import httptools
+from absl import app, flags
+from twisted.internet import reactor
+from twisted.internet.protocol import Factory, Protocol
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer('port', 9001, 'port on loopback')
+flags.DEFINE_integer('slots', 6, 'requests that run at once')
+flags.DEFINE_float('service_ms', 2, 'time that a request runs')
+flags.DEFINE_integer('queue_limit', 4, 'requests that wait; more are shed')
+flags.DEFINE_string('instance', '', 'instance mark; default: pid and port')
+
+
+@dataclass
+class Behaviour:
+    """What the upstream does; set over ``/_control``."""
+
+    service_ms: float = 2
+    slots: int = 6
+    queue_limit: int = 4
+    draining: int = 0
+    shed_all: int = 0
+    fail_fast: int = 0
+    truncate: int = 0
+    reset: int = 0
+    garbage: int = 0
+    answer_bytes: int = 0
+    chunked: int = 0
+    cold_limit: int = 0
+    die_on: str = ''
+
+
+@dataclass
+class Worker:
+    """The worker's slots and its counts."""
+
+    behaviour: Behaviour
+    instance: str
+    running: int = 0
+    most_running: int = 0
+    fallen: bool = False
+    probes: int = 0
+    started: list = field(default_factory=list)
+    executions: Counter = field(default_factory=Counter)
+    waiting: deque = field(default_factory=deque)
+
+    def take(self, connection):
+        """Run, queue or shed one request."""
+        behaviour = self.behaviour
+        if behaviour.shed_all:
+            connection.shed()
+        elif self.running < behaviour.slots:
+            self.begin(connection)
+        elif len(self.waiting) < behaviour.queue_limit:
+            self.waiting.append(connection)
+        else:
+            connection.shed()
+
+    def begin(self, connection):
+        """Run one request now."""
+        behaviour = self.behaviour
+        if behaviour.die_on and behaviour.die_on in connection.url.decode():
+            os.kill(os.getpid(), signal.SIGKILL)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        if behaviour.cold_limit and self.running > behaviour.cold_limit:
+            self.fallen = True
+        request_id = connection.request_id
+        if request_id:
+            self.executions[request_id] += 1
+        delay_s = 0 if behaviour.fail_fast else behaviour.service_ms / 1000
+        reactor.callLater(delay_s, self.finish, connection)
+
+    def finish(self, connection):
+        """Answer and start the next waiting request."""
+        self.running -= 1
+        connection.answer()
+        while self.waiting and self.running < self.behaviour.slots:
+            following = self.waiting.popleft()
+            if following.is_open:
+                self.begin(following)
+
+    def report(self):
+        """Return the load report's text."""
+        return (
+            f'running={self.running}, instance={self.instance}, '
+            f'draining={self.behaviour.draining}'
+        ).encode()
+
+
+class UpstreamProtocol(Protocol):
+    """Parses requests with a library and answers them."""
+
+    def __init__(self, worker):
+        self.worker = worker
+        self.is_open = True
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b''
+        self.headers = {}
+        self.body = bytearray()
+
+    def connectionMade(self):
+        self.transport.setTcpNoDelay(True)
+
+    def connectionLost(self, reason=None):
+        self.is_open = False
+
+    def dataReceived(self, data):
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.transport.abortConnection()
+
+    def on_message_begin(self):
+        self.url = b''
+        self.headers = {}
+        self.body = bytearray()
+
+    def on_url(self, url):
+        self.url += url
+
+    def on_header(self, name, text):
+        self.headers[name.lower()] = text
+
+    def on_body(self, data):
+        self.body += data
+
+    @property
+    def request_id(self):
+        return self.headers.get(b'x-request-id', b'').decode()
+
+    def on_message_complete(self):
+        self.method = self.parser.get_method()
+        path, _, query = self.url.decode('latin-1').partition('?')
+        if path == '/_control':
+            for name, text in parse_qsl(query):
+                kind = type(getattr(Behaviour(), name))
+                setattr(self.worker.behaviour, name, kind(text))
+            self.write(200, b'ok')
+        elif path == '/_executions':
+            self.write(
+                200,
+                json.dumps(
+                    {
+                        'executions': self.worker.executions,
+                        'most_running': self.worker.most_running,
+                        'fallen': self.worker.fallen,
+                        'probes': self.worker.probes,
+                        'running': self.worker.running,
+                        'last_started_ms': self.worker.started[-1:],
+                    },
+                ).encode(),
+            )
+        elif path == '/load':
+            self.worker.probes += 1
+            self.write(200, b'')
+        else:
+            self.worker.take(self)
+
+    def shed(self):
+        self.write(503, b'shed', ((b'figdoor-shed', b'1'),))
+
+    def answer(self):
+        if not self.is_open:
+            return
+        behaviour = self.worker.behaviour
+        if behaviour.reset:
+            self.transport.abortConnection()
+            return
+        if behaviour.garbage:
+            self.transport.write(b'\x00garbage\r\n\r\n')
+            return
+        if behaviour.fail_fast:
+            self.write(500, b'failed')
+            return
+        text = b'%b %b\n' % (self.method, self.url)
+        if behaviour.answer_bytes:
+            text = text.ljust(behaviour.answer_bytes, b'.')
+        if self.body:
+            text += bytes(self.body)
+        self.write(200, text)
+
+    def write(self, status, text, headers=()):
+        lines = [b'HTTP/1.1 %d Status' % status]
+        lines.append(b'figdoor-load: ' + self.worker.report())
+        lines.extend(b'%b: %b' % pair for pair in headers)
+        if self.request_id:
+            lines.append(b'x-request-id: ' + self.request_id.encode())
+        truncate = self.worker.behaviour.truncate
+        if self.worker.behaviour.chunked and status == 200:
+            lines.append(b'transfer-encoding: chunked')
+            body = b'%x\r\n%b\r\n0\r\n\r\n' % (len(text), text)
+            if not text:
+                body = b'0\r\n\r\n'
+        else:
+            lines.append(b'content-length: %d' % len(text))
+            body = text
+        if self.method == b'HEAD':
+            body = b''
+        rendered = b'\r\n'.join(lines) + b'\r\n\r\n'
+        if truncate and status == 200:
+            self.transport.write(rendered + body[: len(body) // 2])
+            self.transport.loseConnection()
+        else:
+            self.transport.write(rendered + body)
+
+
+def main(_):
+    """Serve until SIGTERM."""
+    instance = FLAGS.instance or f'{os.getpid()}-{FLAGS.port}'
+    behaviour = Behaviour(
+        service_ms=FLAGS.service_ms,
+        slots=FLAGS.slots,
+        queue_limit=FLAGS.queue_limit,
+    )
+    worker = Worker(behaviour, instance)
+    factory = Factory()
+    factory.noisy = False
+    factory.buildProtocol = lambda _: UpstreamProtocol(worker)
+    reactor.listenTCP(FLAGS.port, factory, interface='127.0.0.1', backlog=512)
+    sys.stdout.write('ready\n')
+    sys.stdout.flush()
+    reactor.run()
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,148 @@
+"""Nodes without I/O for the tests of kernel and decisions."""
+
+from random import Random
+
+from returns.pipeline import is_successful
+from twisted.internet.task import Clock as TwistedClock
+
+from figdoor_kernel import (
+    AvailabilityZoneName,
+    Call,
+    Fingerprint,
+    Node,
+    NodeId,
+    Options,
+    Registry,
+    Revision,
+    ServiceConfirmed,
+    ServiceName,
+    TablesAccepted,
+    Vm,
+    VmId,
+    VmList,
+    VmListChanged,
+    VmState,
+    load_plugins,
+)
+from figdoor_tables import read_tables
+
+ROUTES = """
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+read,  *,         /,           GET HEAD,   work, GET HEAD,   header:x-tenant, 1000, 20
+write, *,         /,           POST,       work, ,           header:x-tenant, 1000, 20
+"""
+
+POOLS = """
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+*,    ,        z1 z2,              ,      ,            ,
+work, work,    z1 z2,              6,     250,         1,          2
+"""
+
+
+class ManualClock:
+    """A node's clock that stands on Twisted's ``Clock``."""
+
+    def __init__(self, reactor=None):
+        self.reactor = reactor or TwistedClock()
+
+    def now_ms(self):
+        return self.reactor.seconds() * 1000
+
+    def advance_ms(self, delay_ms):
+        self.reactor.advance(delay_ms / 1000)
+
+
+def io_free_registry():
+    """Return the installed decision plug-ins, without the gateway's."""
+    loaded = load_plugins()
+    registry = Registry()
+    for extension, factories in loaded.factories().items():
+        for name, factory in factories.items():
+            if factory.__module__.startswith('figdoor_decisions'):
+                registry.provide(extension, name, factory)
+    return registry
+
+
+def make_node(
+    node_id='n1',
+    clock=None,
+    zone='z1',
+    seed=1,
+    registry=None,
+    **options,
+):
+    """Return a node with every decision plug-in built."""
+    node = Node(
+        NodeId(node_id),
+        AvailabilityZoneName(zone),
+        clock or ManualClock(),
+        Random(seed),
+        registry or io_free_registry(),
+        Options(**{'chooser': 'power-of-two', **options}),
+    )
+    for extension, factories in node.registry.factories().items():
+        for name in factories:
+            node.part(extension, name)
+    return node
+
+
+def tables(revision=1, routes=ROUTES, pools=POOLS):
+    """Return accepted tables; fails the test where they have findings."""
+    read = read_tables(Revision(revision), routes, pools)
+    assert is_successful(read), read.failure()
+    return read.unwrap()
+
+
+def upstream_vm(name, zone='z1', service='work', state=VmState.LIVE):
+    """Return the row of an upstream in the VM list."""
+    return Vm(
+        VmId(name),
+        ServiceName(service),
+        AvailabilityZoneName(zone),
+        '127.0.0.1',
+        1,
+        state,
+    )
+
+
+def node_vm(name, zone='z1', state=VmState.LIVE):
+    """Return the row of a figdoor node in the VM list."""
+    return upstream_vm(name, zone, 'figdoor', state)
+
+
+def give_tables(node, accepted=None):
+    """Put tables in force and confirm them now."""
+    now_ms = node.clock.now_ms()
+    accepted = accepted or tables()
+    node.events.publish(TablesAccepted(accepted, now_ms))
+    confirm(node, accepted.revision)
+
+
+def confirm(node, revision=1):
+    """Renew the config lease as of now."""
+    node.events.publish(ServiceConfirmed(node.clock.now_ms(), revision))
+
+
+def give_vms(node, *vms):
+    """Let the node read this VM list."""
+    node.events.publish(VmListChanged(VmList(vms), node.clock.now_ms()))
+
+
+def make_call(operation='GET', path='/x', tenant='t1', fingerprint=1, **more):
+    """Return a call as a front end would make it."""
+    return Call(
+        operation,
+        'any.example',
+        path,
+        Fingerprint(fingerprint),
+        attributes={'x-tenant': tenant},
+        **more,
+    )
+
+
+class Recorder:
+    """Keeps all events of one type."""
+
+    def __init__(self, node, event_type):
+        self.events = []
+        node.events.subscribe(event_type, self.events.append)
