Add fake network of nodes for tests

Cause: cold starts, membership and configuration need several nodes on one virtual clock. Links can be cut and nodes paused; a paused node gets what was sent to it when it wakes, as a process finds it in its socket buffers.

--- /dev/null
+++ b/tests/network.py
@@ -0,0 +1,140 @@
+"""Several nodes on one virtual clock, joined by a fake network."""
+
+from random import Random
+
+from support import ManualClock, make_node
+
+from figdoor_kernel import (
+    NewsReceived,
+    NewsWanted,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    Tick,
+)
+
+TICK_MS = 50
+
+
+class Network:
+    """Delivers messages after a delay, unless a link is cut.
+
+    ``direct_news`` hands news to all other nodes without the membership
+    plug-in's flooding, for tests of plug-ins that only use news.
+    """
+
+    def __init__(self, *node_ids, zones=('z1', 'z2'), delay_ms=1, **options):
+        self.clock = ManualClock()
+        self.random = Random(7)
+        self.delay_ms = delay_ms
+        self.direct_news = options.pop('direct_news', False)
+        self.options = options
+        self.zones = zones
+        self.nodes = {}
+        self.cut = set()
+        self.paused = {}
+        self.sent_messages = 0
+        for node_id in node_ids:
+            self.add(node_id)
+
+    def add(self, node_id):
+        """Add a node, or replace one by a node with an empty memory."""
+        zone = self.zones[len(self.nodes) % len(self.zones)]
+        if node_id in self.nodes:
+            zone = self.nodes[node_id].availability_zone
+        node = make_node(
+            node_id,
+            self.clock,
+            zone,
+            self.random.randrange(2**32),
+            **self.options,
+        )
+        self.nodes[node_id] = node
+        node.events.subscribe(
+            PeerMessageWanted,
+            lambda event: self._send(node, event.target, event.message),
+        )
+        if self.direct_news:
+            node.events.subscribe(
+                NewsWanted,
+                lambda event: self._tell_all(node, event.news),
+            )
+        return node
+
+    def remove(self, node_id):
+        """Let a node vanish without a word."""
+        self.nodes.pop(node_id)
+
+    def split(self, *groups):
+        """Cut all links between the groups."""
+        group_of = {name: group for group in groups for name in group}
+        self.cut = {
+            (one, other)
+            for one in group_of
+            for other in group_of
+            if group_of[one] is not group_of[other]
+        }
+
+    def heal(self):
+        """Restore all links."""
+        self.cut = set()
+
+    def pause(self, node_id):
+        """Freeze a node: what is sent to it waits in its buffers."""
+        self.paused[node_id] = []
+
+    def resume(self, node_id):
+        """Wake a node and hand it what waited."""
+        for deliver in self.paused.pop(node_id):
+            deliver()
+
+    def advance_ms(self, total_ms):
+        """Let time pass in ticks."""
+        left_ms = total_ms
+        while left_ms > 0:
+            step_ms = min(TICK_MS, left_ms)
+            left_ms -= step_ms
+            self.clock.advance_ms(step_ms)
+            for name, node in tuple(self.nodes.items()):
+                if name not in self.paused:
+                    node.events.publish(Tick(self.clock.now_ms()))
+
+    def _send(self, sender, target, message):
+        self.sent_messages += 1
+        link = (sender.node_id, target)
+        if link in self.cut or target not in self.nodes:
+            return
+        receiver = self.nodes[target]
+        self._later(
+            receiver,
+            lambda: PeerMessageReceived(
+                sender.node_id,
+                message,
+                self.clock.now_ms(),
+            ),
+        )
+
+    def _tell_all(self, origin, news):
+        for name, node in self.nodes.items():
+            if node is not origin and (origin.node_id, name) not in self.cut:
+                self._later(
+                    node,
+                    lambda: NewsReceived(
+                        origin.node_id,
+                        news,
+                        self.clock.now_ms(),
+                    ),
+                )
+
+    def _later(self, receiver, make_event):
+        def deliver():
+            name = receiver.node_id
+            if self.nodes.get(name) is not receiver:
+                return
+            if name in self.paused:
+                self.paused[name].append(
+                    lambda: receiver.events.publish(make_event()),
+                )
+            else:
+                receiver.events.publish(make_event())
+
+        self.clock.reactor.callLater(self.delay_ms / 1000, deliver)
