--- a/tests/network.py
+++ b/tests/network.py
@@ -98,13 +98,34 @@
                 if name not in self.paused:
                     node.events.publish(Tick(self.clock.now_ms()))
 
+    def deliver(self, receiver, delay_ms, action):
+        """Run an action at a node later; it waits while the node is paused.
+
+        It is dropped where the node was replaced in the meantime.
+        """
+        self.clock.reactor.callLater(
+            delay_ms / 1000,
+            self._run_at,
+            receiver,
+            action,
+        )
+
+    def _run_at(self, receiver, action):
+        name = receiver.node_id
+        if self.nodes.get(name) is not receiver:
+            return
+        if name in self.paused:
+            self.paused[name].append(action)
+        else:
+            action()
+
     def _send(self, sender, target, message):
         self.sent_messages += 1
         link = (sender.node_id, target)
         if link in self.cut or target not in self.nodes:
             return
         receiver = self.nodes[target]
-        self._later(
+        self._publish_later(
             receiver,
             lambda: PeerMessageReceived(
                 sender.node_id,
@@ -116,7 +137,7 @@
     def _tell_all(self, origin, news):
         for name, node in self.nodes.items():
             if node is not origin and (origin.node_id, name) not in self.cut:
-                self._later(
+                self._publish_later(
                     node,
                     lambda: NewsReceived(
                         origin.node_id,
@@ -125,16 +146,9 @@
                     ),
                 )
 
-    def _later(self, receiver, make_event):
-        def deliver():
-            name = receiver.node_id
-            if self.nodes.get(name) is not receiver:
-                return
-            if name in self.paused:
-                self.paused[name].append(
-                    lambda: receiver.events.publish(make_event()),
-                )
-            else:
-                receiver.events.publish(make_event())
-
-        self.clock.reactor.callLater(self.delay_ms / 1000, deliver)
+    def _publish_later(self, receiver, make_event):
+        self.deliver(
+            receiver,
+            self.delay_ms,
+            lambda: receiver.events.publish(make_event()),
+        )
