Never tell not-run after an attempt was lost

Cause: found by the state machine over several nodes and by reading. An idempotent request whose first attempt was lost, and whose retry was refused, shed or too late, ended as not-run although the first attempt may have run. Change: an exchange that has lost an attempt closes as unknown. Ruled out: forbidding such retries, which would lose answers without need. Conclusion: two tests fail before and pass after.

--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -194,6 +194,7 @@
         self._tried: set[str] = set()
         self._attempt: _CurrentAttempt | None = None
         self._finish: Finish | None = None
+        self._was_lost = False
 
     def next_step(self, now_ms: float) -> Step:
         """Return what to do now; call it again after each ended attempt."""
@@ -252,6 +253,7 @@
         was_answering = attempt.record.state is AttemptState.ANSWERING
         _ENDINGS[seen.state](attempt.life)
         self._attempt = None
+        self._was_lost |= seen.state is AttemptState.LOST
         self._events.publish(
             AttemptEnded(
                 attempt.attempt_id,
@@ -368,6 +370,9 @@
         refusal: Refusal | None,
         now_ms: float,
     ) -> Finish:
+        if self._was_lost and outcome is Outcome.NOT_RUN:
+            # An earlier attempt may have run, whatever became of the last.
+            outcome = Outcome.UNKNOWN
         self._finish = Finish(outcome, refusal)
         self._events.publish(
             CallClosed(
--- a/tests/kernel/test_dispatcher.py
+++ b/tests/kernel/test_dispatcher.py
@@ -59,6 +59,22 @@
         second = self.begin(exchange)
         assert second.upstream is not first.upstream
 
+    def test_lost_call_is_never_told_not_run_when_its_retry_is_refused(self):
+        exchange = self.open()
+        self.begin(exchange)
+        exchange.end(NOTHING, self.clock.now_ms())
+        self.clock.advance_ms(self.node.options.lease_ms + 1)
+        step = exchange.next_step(self.clock.now_ms())
+        assert step.outcome is Outcome.UNKNOWN
+
+    def test_lost_call_is_never_told_not_run_when_its_retry_is_shed(self):
+        exchange = self.open()
+        for state in (AttemptState.LOST, AttemptState.SHED):
+            self.begin(exchange)
+            exchange.end(AttemptResult(state), self.clock.now_ms())
+        step = exchange.next_step(self.clock.now_ms())
+        assert step.outcome is Outcome.UNKNOWN
+
     def test_shed_non_idempotent_call_is_sent_elsewhere(self):
         exchange = self.open(operation='POST')
         self.begin(exchange)
