Move the phases of a graceful stop into the decisions

Cause: whether a stop cuts a request could only be tested with a process. Change: a stop plan says when to close the listener and when to end; the gateway's life cycle only does what it says.

--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -5,13 +5,12 @@
 from loguru import logger
 from twisted.internet.task import LoopingCall
 
-from figdoor_gateway.loop import MS_PER_SECOND, Timer, call_later, cancel
+from figdoor_decisions.stopping import StopPhase, StopPlan
+from figdoor_gateway.loop import MS_PER_SECOND
 from figdoor_gateway.protocols import FrontEnd
 from figdoor_kernel import Extension, Node, NodeState, Service, Tick
 
 TICK_MS = 50
-STOP_MARGIN_MS = 1000
-DEFAULT_DEADLINE_MS = 30_000
 
 
 class Lifecycle:
@@ -20,9 +19,10 @@
     def __init__(self, node: Node) -> None:
         """Build nothing yet."""
         self._node = node
+        self._plan: StopPlan = node.part(Extension.SERVICE, 'stop-plan')
         self._ticker = LoopingCall(self._tick)
         self._on_stopped: Callable[[], None] | None = None
-        self._bound_timer: Timer | None = None
+        self._is_closed = False
 
     def start(self) -> None:
         """Need no start of its own."""
@@ -39,47 +39,52 @@
 
     def shut_down(self, on_stopped: Callable[[], None]) -> None:
         """Turn unready, let the platform notice, then finish what runs."""
-        readiness = self._node.part(Extension.SERVICE, 'readiness')
-        if readiness.state is NodeState.STOPPING:
+        if self._plan.has_begun:
             return
         self._on_stopped = on_stopped
-        readiness.move(NodeState.STOPPING, self._node.clock.now_ms())
+        now_ms = self._node.clock.now_ms()
+        readiness = self._node.part(Extension.SERVICE, 'readiness')
+        readiness.move(NodeState.STOPPING, now_ms)
         self._front_end().drain()
-        grace_ms = self._node.settings.stop_grace_ms
+        self._plan.begin(self._node.settings.stop_grace_ms, now_ms)
         logger.info('stopping: unready, still taking requests')
-        call_later(grace_ms, self._close)
-
-    def _close(self) -> None:
-        logger.info('stopping: listener closed, finishing requests')
-        self._bound_timer = call_later(self._stop_bound_ms(), self._cut)
-        self._front_end().close(self._finish)
 
-    def _cut(self) -> None:
-        self._bound_timer = None
-        logger.error('stopping: requests outlived every deadline, cut')
-        self._front_end().abort()
-
-    def _finish(self) -> None:
-        cancel(self._bound_timer)
+    def _tick(self) -> None:
+        now_ms = self._node.clock.now_ms()
+        self._node.events.publish(Tick(now_ms))
+        if self._plan.has_begun:
+            self._go_on_stopping(now_ms)
+
+    def _go_on_stopping(self, now_ms: float) -> None:
+        front_end = self._front_end()
+        phase = self._plan.phase(front_end.busy_count, now_ms)
+        if phase is StopPhase.GRACE:
+            return
+        if not self._is_closed:
+            self._is_closed = True
+            logger.info('stopping: listener closed, finishing requests')
+            front_end.close(self._on_idle)
+        elif phase is StopPhase.CUTTING:
+            logger.error('stopping: requests outlived every deadline, cut')
+            front_end.abort()
+        elif phase is StopPhase.DONE:
+            self._finish(now_ms)
+
+    def _on_idle(self) -> None:
+        if self._ticker.running:
+            self._go_on_stopping(self._node.clock.now_ms())
+
+    def _finish(self, now_ms: float) -> None:
         self._ticker.stop()
         for part in reversed(self._running_parts()):
             part.stop()
         self._node.part(Extension.UPSTREAM_TRANSPORT, 'http').stop()
         readiness = self._node.part(Extension.SERVICE, 'readiness')
-        readiness.move(NodeState.STOPPED, self._node.clock.now_ms())
+        readiness.move(NodeState.STOPPED, now_ms)
         logger.info('stopped')
         if self._on_stopped is not None:
             self._on_stopped()
 
-    def _stop_bound_ms(self) -> float:
-        """Return the longest time that a request in progress may take."""
-        tables = self._node.tables
-        deadlines = (
-            [route.deadline_ms for route in tables.routes] if (tables) else []
-        )
-        longest_ms = max(deadlines, default=DEFAULT_DEADLINE_MS)
-        return longest_ms + STOP_MARGIN_MS
-
     def _running_parts(self) -> tuple[Service, ...]:
         node = self._node
         return (
@@ -93,6 +98,3 @@
     def _front_end(self) -> FrontEnd:
         front_end: FrontEnd = self._node.part(Extension.FRONT_END, 'http')
         return front_end
-
-    def _tick(self) -> None:
-        self._node.events.publish(Tick(self._node.clock.now_ms()))
--- a/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -106,6 +106,10 @@
 class FrontEnd(Protocol):
     """Takes callers' requests."""
 
+    @property
+    def busy_count(self) -> int:
+        """How many connections have a request in progress."""
+
     def start(self) -> None:
         """Open the listener."""
 
