Add membership: ring neighbours, flooding, heartbeats, repair of lost news

Cause: news between nodes had no carrier, and one datagram that is lost could leave a node with a claim that is void.

Change: neighbours at distances 1, 2, 4, 8, ... on the hash ring; news floods along these edges and back along edges on which heartbeats arrive. Sequence numbers carry a random incarnation, so that a restarted origin is not taken for old. Heartbeats list news that the neighbour may have missed. The lease ignores confirmations while a peer has shown a newer revision.

Conclusion: on the fake network news reaches 64 nodes in 6 hops, survives the loss of a third of all messages and a split of 20 s. With the incarnation left out of the key, or the window not checked, the tests fail.

--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -4,6 +4,7 @@
     Extension,
     Node,
     Refusal,
+    Revision,
     RoutedCall,
     ServiceConfirmed,
 )
@@ -13,12 +14,18 @@
     """Remembers the latest point in time at which the tables were confirmed.
 
     A read of the service confirms the time at which it began, so that an
-    answer that a paused process finds in its buffers proves nothing new.
+    answer that a paused process finds in its buffers proves nothing new. A
+    node that knows of a newer revision than its own gets no confirmation
+    until it has accepted that revision: its tables are superseded, even where
+    a stale service or other neighbours that lag behind say otherwise.
     """
 
     def __init__(self, node: Node) -> None:
         """Follow confirmations of the service."""
+        self._node = node
         self._lease_ms = node.options.lease_ms
+        self._newer = Revision(0)
+        self._newer_at_ms: float = 0
         self.confirmed_at_ms: float | None = None
         node.events.subscribe(ServiceConfirmed, self._on_confirmed)
 
@@ -30,9 +37,21 @@
 
     def confirm(self, at_ms: float) -> None:
         """Note that the tables were confirmed as of ``at_ms``."""
+        if self._is_superseded(at_ms):
+            return
         known = self.confirmed_at_ms
         self.confirmed_at_ms = at_ms if known is None else max(known, at_ms)
 
+    def note_newer(self, revision: Revision, now_ms: float) -> None:
+        """Note that a peer has this newer revision now.
+
+        The note is void after one lease unless a peer repeats it, so that
+        one wrong message cannot stop a node for good.
+        """
+        if revision >= self._newer or self._is_void(now_ms):
+            self._newer = revision
+            self._newer_at_ms = now_ms
+
     def holds(self, now_ms: float) -> bool:
         """Return whether the node may act on its tables."""
         confirmed_at_ms = self.confirmed_at_ms
@@ -41,7 +60,18 @@
         return now_ms - confirmed_at_ms <= self._lease_ms
 
     def _on_confirmed(self, event: ServiceConfirmed) -> None:
-        self.confirm(event.read_started_ms)
+        if event.revision >= self._own_revision():
+            self.confirm(event.read_started_ms)
+
+    def _own_revision(self) -> Revision:
+        tables = self._node.tables
+        return tables.revision if tables else Revision(0)
+
+    def _is_superseded(self, at_ms: float) -> bool:
+        return self._newer > self._own_revision() and not self._is_void(at_ms)
+
+    def _is_void(self, now_ms: float) -> bool:
+        return now_ms - self._newer_at_ms > self._lease_ms
 
 
 class LeaseRule:
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/__init__.py
@@ -0,0 +1,22 @@
+"""Which nodes a node talks to, and how news reaches all of them."""
+
+from figdoor_decisions.membership._flooding import Flooding
+from figdoor_decisions.membership._heartbeats import Heartbeats
+from figdoor_decisions.membership._neighbours import Neighbours
+from figdoor_decisions.membership._ring import neighbours_of
+from figdoor_kernel import Extension, Registry
+
+__all__ = (
+    'Flooding',
+    'Heartbeats',
+    'Neighbours',
+    'neighbours_of',
+    'register',
+)
+
+
+def register(registry: Registry) -> None:
+    """Provide neighbours, flooding and heartbeats."""
+    registry.provide(Extension.SERVICE, 'neighbours', Neighbours)
+    registry.provide(Extension.SERVICE, 'flooding', Flooding)
+    registry.provide(Extension.SERVICE, 'heartbeats', Heartbeats)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_heartbeats.py
@@ -0,0 +1,163 @@
+"""Heartbeats to the neighbours and what their acknowledgements prove."""
+
+from collections import deque
+
+from figdoor_decisions.configuration import ConfigLease
+from figdoor_decisions.membership._contacts import Contact, Contacts
+from figdoor_decisions.membership._flooding import Flooding
+from figdoor_decisions.membership._neighbours import Neighbours
+from figdoor_kernel import (
+    Extension,
+    Farewell,
+    Heartbeat,
+    HeartbeatAck,
+    NewsWanted,
+    Node,
+    NodeId,
+    PeerMessage,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    Revision,
+    RevisionAccepted,
+    RevisionBehind,
+    ServiceFailed,
+    Tick,
+    VmListChanged,
+)
+
+KEPT_TOKENS = 16
+REPEATED_HEARTBEATS = 2
+
+
+class Heartbeats:
+    """Asks the neighbours at regular times and whenever tables are accepted.
+
+    An acknowledgement counts only with the token of a heartbeat that this
+    run of the process sent, and then proves the time of sending.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow the clock, the VM list and messages of peers."""
+        self._node = node
+        self._neighbours: Neighbours = node.part(
+            Extension.SERVICE,
+            'neighbours',
+        )
+        self._flooding: Flooding = node.part(Extension.SERVICE, 'flooding')
+        self._lease: ConfigLease = node.part(Extension.SERVICE, 'config-lease')
+        self._tokens: deque[float] = deque(maxlen=KEPT_TOKENS)
+        # Nodes that start together spread their heartbeats.
+        self._spread_ms = node.random.random() * node.options.heartbeat_ms
+        self._next_ms: float | None = None
+        self._now_ms: float = 0
+        self.contacts = Contacts()
+        events = node.events
+        events.subscribe(VmListChanged, self._on_vm_list)
+        events.subscribe(Tick, self._on_tick)
+        events.subscribe(NewsWanted, self._on_wanted)
+        events.subscribe(PeerMessageReceived, self._on_message)
+        events.subscribe(ServiceFailed, self._on_service_failed)
+
+    def start(self) -> None:
+        """Need no start."""
+
+    def stop(self) -> None:
+        """Say farewell along all edges."""
+        for peer in self._neighbours.edges(self._now_ms):
+            self._send(peer, Farewell())
+
+    @property
+    def alone(self) -> bool:
+        """Whether the VM list was read and shows no other node present."""
+        return self._neighbours.listed and not self.contacts.present()
+
+    def _own_revision(self) -> Revision:
+        tables = self._node.tables
+        return tables.revision if tables else Revision(0)
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        known = set(self.contacts.by_id)
+        self.contacts.follow(self._neighbours.on_ring)
+        if not known and self.contacts.by_id:
+            self._ask_all(event.now_ms)
+
+    def _on_tick(self, event: Tick) -> None:
+        self._now_ms = event.now_ms
+        if self._next_ms is None:
+            self._next_ms = event.now_ms + self._spread_ms
+        if event.now_ms >= self._next_ms:
+            self._next_ms = event.now_ms + self._node.options.heartbeat_ms
+            self._ask_all(event.now_ms)
+
+    def _on_wanted(self, event: NewsWanted) -> None:
+        if isinstance(event.news, RevisionAccepted):
+            self._ask_all(event.now_ms)
+            for peer in self._neighbours.edges(event.now_ms):
+                if peer not in self.contacts.by_id:
+                    self._ask(peer, Contact(event.now_ms), event.now_ms)
+
+    def _ask_all(self, now_ms: float) -> None:
+        self._tokens.append(now_ms)
+        for peer, contact in self.contacts.by_id.items():
+            self._ask(peer, contact, now_ms)
+
+    def _ask(self, peer: NodeId, contact: Contact, now_ms: float) -> None:
+        overlap_ms = REPEATED_HEARTBEATS * self._node.options.heartbeat_ms
+        since_ms = (contact.acked_ms or 0) - overlap_ms
+        listed = self._flooding.recent(since_ms)
+        self._send(peer, Heartbeat(now_ms, self._own_revision(), listed))
+
+    def _on_message(self, event: PeerMessageReceived) -> None:
+        peer = event.sender
+        match event.message:
+            case Heartbeat(token_ms, revision):
+                self._mark_left(peer, left=False)
+                ack = HeartbeatAck(token_ms, self._own_revision())
+                self._send(peer, ack)
+                self._compare(peer, revision, event.now_ms)
+            case HeartbeatAck(token_ms, revision):
+                self._mark_left(peer, left=False)
+                self._on_ack(peer, token_ms, revision)
+                self._compare(peer, revision, event.now_ms)
+            case Farewell():
+                self._mark_left(peer, left=True)
+
+    def _mark_left(self, peer: NodeId, *, left: bool) -> None:
+        contact = self.contacts.by_id.get(peer)
+        if contact is not None:
+            contact.left = left
+
+    def _on_ack(
+        self,
+        peer: NodeId,
+        token_ms: float,
+        revision: Revision,
+    ) -> None:
+        contact = self.contacts.by_id.get(peer)
+        if contact is None or token_ms not in self._tokens:
+            return
+        if contact.acked_ms is None or token_ms >= contact.acked_ms:
+            contact.acked_ms = token_ms
+            contact.revision = revision
+
+    def _compare(
+        self,
+        peer: NodeId,
+        revision: Revision,
+        now_ms: float,
+    ) -> None:
+        own = self._own_revision()
+        if revision > own:
+            self._lease.note_newer(revision, now_ms)
+            self._node.events.publish(RevisionBehind(peer, revision, now_ms))
+            return
+        confirmed_at_ms = self.contacts.confirmed_at_ms(own)
+        if confirmed_at_ms is not None:
+            self._lease.confirm(confirmed_at_ms)
+
+    def _on_service_failed(self, event: ServiceFailed) -> None:
+        if self.alone and self._node.tables is not None:
+            self._lease.confirm(event.read_started_ms)
+
+    def _send(self, peer: NodeId, message: PeerMessage) -> None:
+        self._node.events.publish(PeerMessageWanted(peer, message))
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -158,6 +158,14 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceFailed:
+    """A read of the configuration service that began then has failed."""
+
+    read_started_ms: float
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class VmListChanged:
     """The VM list was read; it may be the same as before."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -18,10 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
-    """A question to a neighbour; ``token_ms`` is the sender's clock."""
+    """A question to a neighbour; ``token_ms`` is the sender's clock.
+
+    ``recent`` lists sequence numbers of news that the neighbour may have
+    missed; it asks for those that it does not know.
+    """
 
     token_ms: float
     revision: Revision
+    recent: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +37,13 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class NewsRequest:
+    """A question for news that a heartbeat listed, by sequence number."""
+
+    sequences: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Farewell:
     """The sender stops now."""
@@ -128,6 +140,7 @@
 PeerMessage = (
     Heartbeat
     | HeartbeatAck
+    | NewsRequest
     | Farewell
     | PermitRequest
     | PermitAnswer
