Add benches of choosing policies and of one dispatch

Cause: the aim of design 1.3 (p99 at 80% load at most half of round robin's, below power of two choices') had no measurement.

Ruled out: exponential service times, whose own p99 (46 ms of a mean of 10 ms) would hide the policies. The log-normal used has a p99 of 28 ms.

--- /dev/null
+++ b/bench/dispatch.py
@@ -0,0 +1,109 @@
+"""Measures a whole dispatch over 20 upstreams, without any I/O.
+
+Opening, choice, confirmation, answer with a load report and end of one call.
+Run it with ``.venv/bin/python bench/dispatch.py``.
+"""
+
+import time
+from random import Random
+
+from figdoor_kernel import (
+    AttemptResult,
+    AttemptState,
+    Call,
+    Dispatcher,
+    Finish,
+    LoadReport,
+    Node,
+    Options,
+    Registry,
+    ServiceConfirmed,
+    TablesAccepted,
+    Vm,
+    VmList,
+    VmListChanged,
+    load_plugins,
+)
+from figdoor_tables import read_tables
+
+UPSTREAMS = 20
+CALLS = 5000
+WARM_UP_CALLS = 500
+CHOOSERS = ('round-robin', 'power-of-two', 'adaptive')
+CALL = Call('GET', 'any.example', '/x', 1)
+ANSWERED = AttemptResult(AttemptState.ANSWERED)
+ROUTES = """
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+read,  *,         /,           *,          work, GET,        all,    1000,        20
+"""
+POOLS = """
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+work, work,    z1 z2 z3 z4,        6,     250,         1,          2
+"""
+
+
+class StillClock:
+    def now_ms(self):
+        return 0.0
+
+
+def make_dispatcher(chooser):
+    """Return the dispatcher of a node with all decision plug-ins."""
+    registry = Registry()
+    for extension, factories in load_plugins().factories().items():
+        for name, factory in factories.items():
+            if factory.__module__.startswith('figdoor_decisions'):
+                registry.provide(extension, name, factory)
+    node = Node(
+        'n0', 'z1', StillClock(), Random(1), registry, Options(chooser=chooser)
+    )
+    for extension, factories in registry.factories().items():
+        for name in factories:
+            node.part(extension, name)
+    dispatcher = Dispatcher(node)
+    vms = [
+        Vm(f'w{index}', 'work', f'z{index % 4 + 1}', '127.0.0.1', 1)
+        for index in range(UPSTREAMS)
+    ]
+    vms.append(Vm('n0', 'figdoor', 'z1', '127.0.0.1', 2))
+    node.events.publish(VmListChanged(VmList(tuple(vms)), 0))
+    tables = read_tables(1, ROUTES, POOLS).unwrap()
+    node.events.publish(TablesAccepted(tables, 0))
+    return dispatcher
+
+
+def dispatch(dispatcher, now_ms):
+    """Take one call to its end; returns whether it was answered."""
+    exchange = dispatcher.open(CALL, now_ms, lambda: None)
+    if isinstance(exchange.next_step(now_ms), Finish):
+        return False
+    if not exchange.confirm_send(now_ms):
+        return False
+    exchange.report(LoadReport('a', 3), now_ms)
+    exchange.begin_answer()
+    exchange.end(ANSWERED, now_ms)
+    return True
+
+
+def measure(chooser):
+    """Return p50 and p99 of one dispatch in microseconds."""
+    dispatcher = make_dispatcher(chooser)
+    spent_us = []
+    now_ms = 0.0
+    for turn in range(WARM_UP_CALLS + CALLS):
+        now_ms += 1
+        if not turn % WARM_UP_CALLS:
+            dispatcher.node.events.publish(ServiceConfirmed(now_ms, 1))
+        began = time.perf_counter()
+        answered = dispatch(dispatcher, now_ms)
+        spent_us.append((time.perf_counter() - began) * 1e6)
+        if not answered:
+            raise SystemExit('a call was refused; nothing was measured')
+    ordered = sorted(spent_us[WARM_UP_CALLS:])
+    return ordered[CALLS // 2], ordered[CALLS * 99 // 100]
+
+
+if __name__ == '__main__':
+    for name in CHOOSERS:
+        p50_us, p99_us = measure(name)
+        print(f'{name:14} p50 {p50_us:6.1f} us  p99 {p99_us:6.1f} us')
--- /dev/null
+++ b/bench/fake_workers.py
@@ -0,0 +1,142 @@
+"""Workers and a clock for `policies.py`, without any I/O."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from math import exp
+
+from figdoor_kernel import AttemptResult, AttemptState, LoadReport
+
+SLOTS = 6
+QUEUE = 4
+SERVICE_MEAN_MS = 10.0
+SERVICE_SIGMA = 0.5
+SLOWNESS = 10
+COLD_MS = 200.0
+COLD_BEARS = 1
+DOWN_MS = 50.0
+LOCAL_ONE_WAY_MS = 0.1
+REMOTE_ONE_WAY_MS = 1.5
+
+
+class VirtualClock:
+    """Runs actions in the order of their times; is a node's clock too."""
+
+    def __init__(self):
+        self.time_ms = 0.0
+        self._order = count()
+        self._due = []
+
+    def now_ms(self):
+        return self.time_ms
+
+    def at(self, time_ms, action, *arguments):
+        heappush(self._due, (time_ms, next(self._order), action, arguments))
+
+    def run(self):
+        while self._due:
+            self.time_ms, _, action, arguments = heappop(self._due)
+            action(*arguments)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One attempt at a worker; ``answer`` takes what comes of it."""
+
+    answer: object
+    dropped: bool = False
+
+
+@dataclass
+class Worker:
+    """Runs ``SLOTS`` jobs at once, queues ``QUEUE`` more, sheds the rest.
+
+    ``slow`` lists intervals in which work advances at a tenth of its speed,
+    ``failing`` one in which every request is answered with an error at once.
+    """
+
+    name: str
+    clock: VirtualClock
+    random: object
+    slow: list = field(default_factory=list)
+    failing: tuple = (0.0, 0.0)
+    down_until_ms: float = 0.0
+    cold_until_ms: float = 0.0
+    instance: int = 1
+    falls: int = 0
+    served: int = 0
+    running: set = field(default_factory=set)
+    waiting: deque = field(default_factory=deque)
+
+    def report(self):
+        busy = len(self.running) + len(self.waiting)
+        return LoadReport(f'{self.name}-{self.instance}', busy)
+
+    @property
+    def is_down(self):
+        return self.clock.time_ms < self.down_until_ms
+
+    def arrive(self, answer):
+        now_ms = self.clock.time_ms
+        if self.is_down:
+            answer(AttemptResult(AttemptState.LOST, connection_died=True), None)
+        elif self.failing[0] <= now_ms < self.failing[1]:
+            failed = AttemptResult(AttemptState.ANSWERED, failed=True)
+            answer(failed, self.report())
+        elif now_ms < self.cold_until_ms and len(self.running) >= COLD_BEARS:
+            self.falls += 1
+            self.restart(answer)
+        elif len(self.running) < SLOTS:
+            self._begin(Job(answer))
+        elif len(self.waiting) < QUEUE:
+            self.waiting.append(Job(answer))
+        else:
+            answer(AttemptResult(AttemptState.SHED), self.report())
+
+    def restart(self, *more_lost):
+        """Lose all requests, be down for a while and come back cold."""
+        now_ms = self.clock.time_ms
+        jobs = [*self.running, *self.waiting]
+        self.running = set()
+        self.waiting.clear()
+        self.instance += 1
+        self.down_until_ms = now_ms + DOWN_MS
+        self.cold_until_ms = self.down_until_ms + COLD_MS
+        lost = AttemptResult(AttemptState.LOST, connection_died=True)
+        for job in jobs:
+            job.dropped = True
+        for answer in (*(job.answer for job in jobs), *more_lost):
+            answer(lost, None)
+
+    def finish_ms(self, start_ms, work_ms):
+        """Return when work that starts now is done, slow intervals counted."""
+        at_ms = start_ms
+        for begin_ms, end_ms in self.slow:
+            if end_ms <= at_ms:
+                continue
+            if at_ms + work_ms <= begin_ms:
+                break
+            work_ms -= max(0, begin_ms - at_ms)
+            at_ms = max(at_ms, begin_ms)
+            if work_ms * SLOWNESS <= end_ms - at_ms:
+                return at_ms + work_ms * SLOWNESS
+            work_ms -= (end_ms - at_ms) / SLOWNESS
+            at_ms = end_ms
+        return at_ms + work_ms
+
+    def _begin(self, job):
+        self.running.add(job)
+        mu = -SERVICE_SIGMA * SERVICE_SIGMA / 2
+        work_ms = SERVICE_MEAN_MS * exp(self.random.gauss(mu, SERVICE_SIGMA))
+        now_ms = self.clock.time_ms
+        self.clock.at(self.finish_ms(now_ms, work_ms), self._end, job)
+
+    def _end(self, job):
+        if job.dropped:
+            return
+        self.running.discard(job)
+        self.served += 1
+        job.answer(AttemptResult(AttemptState.ANSWERED), self.report())
+        if self.waiting:
+            self._begin(self.waiting.popleft())
