--- a/bench/policies.py
+++ b/bench/policies.py
@@ -201,7 +201,10 @@
 
         if worker.is_down:
             # Its connections are closed and it accepts no new one.
-            refused = AttemptResult(AttemptState.UNSENT_FAILURE)
+            refused = AttemptResult(
+                AttemptState.UNSENT_FAILURE,
+                connection_died=True,
+            )
             self.clock.at(now_ms + 2 * one_way_ms, take, refused, None)
         elif exchange.confirm_send(now_ms):
             self.clock.at(now_ms + one_way_ms, worker.arrive, answer)
--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/__init__.py
@@ -1,5 +1,6 @@
 """Picks one upstream among those that every rule allows."""
 
+from figdoor_decisions.choosers._adaptive import Adaptive
 from figdoor_decisions.choosers._baselines import (
     LeastRequests,
     PowerOfTwo,
@@ -9,6 +10,7 @@
 from figdoor_kernel import Extension, Registry
 
 __all__ = (
+    'Adaptive',
     'LeastRequests',
     'PowerOfTwo',
     'RandomChoice',
@@ -18,9 +20,9 @@
 
 
 def register(registry: Registry) -> None:
-    """Provide the baselines."""
+    """Provide the baselines and the adaptive policy."""
     registry.provide(Extension.CHOOSER, 'random', RandomChoice)
     registry.provide(Extension.CHOOSER, 'round-robin', RoundRobin)
     registry.provide(Extension.CHOOSER, 'least-requests', LeastRequests)
     registry.provide(Extension.CHOOSER, 'power-of-two', PowerOfTwo)
-    registry.provide(Extension.CHOOSER, 'adaptive', PowerOfTwo)
+    registry.provide(Extension.CHOOSER, 'adaptive', Adaptive)
--- /dev/null
+++ b/tests/decisions/test_adaptive.py
@@ -0,0 +1,108 @@
+"""The adaptive chooser and its estimates."""
+
+from itertools import count
+
+from support import give_tables, give_vms, make_call, make_node, upstream_vm
+
+from figdoor_kernel import (
+    AttemptEnded,
+    AttemptStarted,
+    AttemptState,
+    Dispatcher,
+    Extension,
+    LoadReport,
+    ReportSeen,
+)
+
+
+class TestAdaptive:
+    def setup_method(self):
+        self.node = make_node(chooser='adaptive')
+        self.clock = self.node.clock
+        self.chooser = self.node.part(Extension.CHOOSER, 'adaptive')
+        self.attempts = count(1)
+        self.give('w1', 'w2', 'w3')
+
+    def give(self, *names, zone='z1'):
+        give_vms(self.node, *(upstream_vm(name, zone) for name in names))
+        give_tables(self.node)
+        exchange = Dispatcher(self.node).open(make_call(), 0, lambda: None)
+        self.routed = exchange.routed
+
+    def begin(self, name):
+        attempt = next(self.attempts)
+        now_ms = self.clock.now_ms()
+        started = AttemptStarted(attempt, name, self.routed, 1, now_ms)
+        self.node.events.publish(started)
+        return attempt
+
+    def end(self, name, attempt, latency_ms, **seen):
+        seen = {
+            'state': AttemptState.ANSWERED,
+            'failed': False,
+            'connection_died': False,
+            **seen,
+        }
+        self.node.events.publish(
+            AttemptEnded(
+                attempt,
+                name,
+                self.routed,
+                latency_ms=latency_ms,
+                now_ms=self.clock.now_ms(),
+                **seen,
+            ),
+        )
+
+    def answer(self, name, latency_ms, **seen):
+        attempt = self.begin(name)
+        self.clock.advance_ms(latency_ms)
+        self.end(name, attempt, latency_ms, **seen)
+
+    def choices(self, times=60):
+        candidates = self.node.fleet.of_service('work')
+        now_ms = self.clock.now_ms()
+        return {
+            self.chooser.choose(candidates, self.routed, now_ms).upstream_id
+            for _ in range(times)
+        }
+
+    def test_upstream_that_fails_fast_is_not_chosen(self):
+        for name in ('w1', 'w2'):
+            self.answer(name, 20)
+        self.answer('w3', 1, failed=True)
+        assert 'w3' not in self.choices()
+
+    def test_upstream_whose_connection_died_is_not_chosen(self):
+        for name in ('w1', 'w2'):
+            self.answer(name, 20)
+        self.answer('w3', 1, connection_died=True, state=AttemptState.LOST)
+        assert 'w3' not in self.choices()
+
+    def test_upstream_that_answers_slowly_is_not_chosen(self):
+        for name in ('w1', 'w2'):
+            self.answer(name, 10)
+        self.answer('w3', 100)
+        assert 'w3' not in self.choices()
+
+    def test_upstream_with_own_requests_in_flight_is_not_chosen(self):
+        self.begin('w1')
+        self.begin('w2')
+        assert self.choices() == {'w3'}
+
+    def test_fresh_report_of_load_from_elsewhere_counts(self):
+        for name, running in (('w1', 5), ('w2', 5), ('w3', 0)):
+            report = LoadReport('i', running)
+            self.node.events.publish(ReportSeen(name, report, 0))
+        assert self.choices() == {'w3'}
+
+    def test_stale_report_counts_nothing(self):
+        self.node.events.publish(ReportSeen('w1', LoadReport('i', 6), 0))
+        self.clock.advance_ms(300)
+        assert self.choices() <= {'w1', 'w2', 'w3'}
+        assert 'w1' in {choice for _ in range(20) for choice in self.choices()}
+
+    def test_several_upstreams_share_the_load_where_all_look_idle(self):
+        # The failure: all nodes pick the same idle upstream.
+        self.give(*(f'w{index}' for index in range(20)))
+        assert len(self.choices(200)) > 10
