Correct request path: reuse, backpressure, limits, outcomes

- Upstream connections were never reused: the parser forgets whether the connection stays open at the end of the message, and was asked after it.
- A call with a lost attempt could end as not run (no upstream left, shed on the second attempt, deadline while waiting).
- Uploads had no backpressure; a body part that came before the first attempt was dropped, and parts after an early answer piled up.
- A connection paused by a slow caller went back to the pool paused, a late cancel could hit the next request, and an idle connection with unexpected bytes could be used until the loop came round.
- Rubbish after a whole answer cut that answer for the caller.
- Trailers became headers; `Connection: content-length` removed the framing; `Connection: host` removed the target; figdoor-* headers passed both ways.
- 413 and 417 were told as 400; a malformed streamed body waited for the deadline; the head time limit restarted with every byte; a body that stopped coming had no limit; HTTP/0.9 and 2.0 request lines were taken.
- `Expect: 100-continue` on a pipelined request was never answered.
- A graceful stop counted answers as done while a slow caller still read.

Change: intake, delivery, upload and checks split from the connection and the call; answer, pool and rendering split from the transport. The kernel's exchange remembers that an attempt was lost.

Ruled out: own check for line folding; the parser refuses it already, and the tests keep that so. Giving HTTP/1.0 callers a body delimited by close; they could not tell a cut.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_answers.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_answers.py
@@ -37,10 +37,18 @@
     return render_answer(status, headers, text, keep_alive, bodiless)
 
 
-def render_error(status: int, phrase: bytes) -> bytes:
-    """Return the answer to a malformed request; the connection closes."""
+def render_error(
+    status: int,
+    phrase: bytes,
+    outcome: Outcome = Outcome.NOT_RUN,
+) -> bytes:
+    """Return the answer to a malformed request; the connection closes.
+
+    The outcome is unknown where a body turned out to be malformed after its
+    first part had been sent.
+    """
     headers = (
-        (OUTCOME, Outcome.NOT_RUN.value.encode()),
+        (OUTCOME, outcome.value.encode()),
         (REASON, b'malformed-request'),
     )
     return render_answer((status, phrase), headers, b'%b\n' % phrase, False)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_checks.py
@@ -0,0 +1,98 @@
+"""Checks of a request's head that the parser does not make."""
+
+import re
+
+from figdoor_gateway.frontend._request import CallerRequest
+
+_MAX_LENGTH_DIGITS = 15
+_VERSIONS = frozenset(('1.0', '1.1'))
+# Visible ASCII without ``#``: a fragment never travels in a request.
+_TARGET = re.compile(rb'/[!"$-~]*|\*')
+_HOST = re.compile(rb'[\w.~:\[\]%!$&\'()*+,;=-]*', re.ASCII)
+
+
+class BadRequestError(Exception):
+    """A request cannot be taken; carries status and reason phrase."""
+
+    def __init__(self, status: int, phrase: bytes) -> None:
+        """Keep what the caller is told."""
+        super().__init__(status, phrase)
+        self.status = status
+        self.phrase = phrase
+
+
+def bad_request() -> BadRequestError:
+    """Return the error for a malformed or ambiguous request."""
+    return BadRequestError(400, b'Bad Request')
+
+
+def too_large_head() -> BadRequestError:
+    """Return the error for a head above the limit."""
+    return BadRequestError(431, b'Request Header Fields Too Large')
+
+
+def too_large_body() -> BadRequestError:
+    """Return the error for a body above the limit."""
+    return BadRequestError(413, b'Content Too Large')
+
+
+def check_head(request: CallerRequest, version: str, upgrade: bool) -> None:
+    """Raise ``BadRequestError`` for a head whose meaning is not certain.
+
+    It also sets the length of the body.
+    """
+    request.http10 = version == '1.0'
+    hosts, lengths, codings = _framing(request)
+    if version not in _VERSIONS or not _names_one_target(request, hosts):
+        raise bad_request()
+    request.body_length = _body_length(request, lengths, codings)
+    if upgrade and request.body_length != 0:
+        # The parser takes such a body for data of the other protocol.
+        raise bad_request()
+
+
+def _names_one_target(request: CallerRequest, hosts: list[bytes]) -> bool:
+    if not _TARGET.fullmatch(request.target):
+        return False
+    if request.target == b'*' and request.method != b'OPTIONS':
+        return False
+    if not hosts:
+        return request.http10
+    return len(hosts) == 1 and _HOST.fullmatch(hosts[0]) is not None
+
+
+def _framing(
+    request: CallerRequest,
+) -> tuple[list[bytes], list[bytes], list[bytes]]:
+    hosts = []
+    lengths = []
+    codings = []
+    for name, text in request.headers:
+        if name == b'host':
+            hosts.append(text)
+        elif name == b'content-length':
+            lengths.append(text)
+        elif name == b'transfer-encoding':
+            codings.append(text)
+    return hosts, lengths, codings
+
+
+def _body_length(
+    request: CallerRequest,
+    lengths: list[bytes],
+    codings: list[bytes],
+) -> int | None:
+    """Return the length that the head tells, ``None`` for chunked coding."""
+    if len(lengths) + len(codings) > 1:
+        raise bad_request()
+    if codings:
+        # HTTP/1.0 has no chunked coding (RFC 9112, section 6.1).
+        if codings[0].strip().lower() != b'chunked' or request.http10:
+            raise bad_request()
+        return None
+    if not lengths:
+        return 0
+    text = lengths[0]
+    if not text.isdigit() or len(text) > _MAX_LENGTH_DIGITS:
+        raise bad_request()
+    return int(text)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_request.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_request.py
@@ -15,6 +15,7 @@
 
     ``on_data`` and ``on_end`` are set once somebody wants the rest of a body
     that is too large to hold. ``keep_alive`` is what the caller allows.
+    ``awaits_continue`` says that the body follows an interim answer only.
     """
 
     method: bytes = b''
@@ -22,6 +23,7 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     http10: bool = False
     keep_alive: bool = True
+    awaits_continue: bool = False
     body: bytearray = field(default_factory=bytearray)
     body_length: int | None = 0
     body_bytes: int = 0
@@ -42,7 +44,7 @@
             name.decode('latin-1'): text.decode('latin-1')
             for name, text in self.headers
         }
-        authority = attributes.get('host', '').lower().partition(':')[0]
+        authority = _without_port(attributes.get('host', '').lower())
         return Call(
             self.method.decode('latin-1'),
             authority,
@@ -64,3 +66,10 @@
         if text is None or not text.isdigit():
             return None
         return float(text)
+
+
+def _without_port(authority: str) -> str:
+    """Return the host; an IPv6 number keeps its brackets."""
+    if authority.startswith('['):
+        return ''.join(authority.partition(']')[:2])
+    return authority.partition(':')[0]
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
@@ -73,10 +73,11 @@
         for connection in tuple(self._connections):
             if not connection.is_busy:
                 connection.close()
-        self.note_idle()
+        self._note_idle()
 
     def abort(self) -> None:
         """End everything that is still in progress."""
+        logger.error('cut {} requests', self.busy_count)
         for connection in tuple(self._connections):
             connection.abort()
 
@@ -87,15 +88,16 @@
     def remove(self, connection: CallerConnection) -> None:
         """Forget a closed connection."""
         self._connections.discard(connection)
-        self.note_idle()
+        self._note_idle()
 
     def count_malformed(self) -> None:
         """Count a request that was refused as malformed."""
         self.malformed_count += 1
 
-    def note_idle(self) -> None:
-        """Call back once the last request in progress has ended."""
-        if self._on_idle is None or self.busy_count:
+    def _note_idle(self) -> None:
+        # Waits for the connections and not just for their requests: the end
+        # of an answer may still be on its way to a slow caller.
+        if self._on_idle is None or self._connections:
             return
         on_idle = self._on_idle
         self._on_idle = None
@@ -103,13 +105,5 @@
 
     def _sweep(self) -> None:
         now_ms = self.clock.now_ms()
-        settings = self.settings
         for connection in tuple(self._connections):
-            begun_ms = connection.head_begun_ms
-            if begun_ms is not None:
-                if now_ms - begun_ms > settings.header_timeout_ms:
-                    connection.abort()
-            elif not connection.is_busy:
-                idle_ms = now_ms - connection.last_active_ms
-                if idle_ms > settings.idle_timeout_ms:
-                    connection.close()
+            connection.check_timeouts(now_ms)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
@@ -2,12 +2,13 @@
 
 from typing import Any
 
-from figdoor_gateway.headers import INNER_OUTCOME, OUTCOME, REASON
-from figdoor_gateway.protocols import AnswerHead
+from figdoor_gateway.headers import INNER_OUTCOME, OUTCOME, OWN_PREFIX
+from figdoor_gateway.protocols import AnswerHead, Headers
 from figdoor_kernel import Outcome
 
 _END_OF_LINE = b'\r\n'
 _LAST_CHUNK = b'0\r\n\r\n'
+_OWN_OUTCOME = b'%b: %b' % (OUTCOME, Outcome.ANSWERED.value.encode())
 
 
 class AnswerWriter:
@@ -22,71 +23,64 @@
         transport: Any,
         keep_alive: bool,
         http10: bool,
+        head: AnswerHead,
     ) -> None:
-        """Start before the head."""
+        """Write the head, unless the answer must be held."""
+        self.keep_alive = keep_alive
         self._transport = transport
-        self._keep_alive = keep_alive
-        self._http10 = http10
+        self._head = head
+        self._chunked = head.body_length is None
         self._held: bytearray | None = None
-        self._head: AnswerHead | None = None
+        if http10 and self._chunked:
+            self._held = bytearray()
+        else:
+            framing = b'transfer-encoding: chunked' if self._chunked else None
+            self._write_head(framing)
 
     @property
-    def has_begun(self) -> bool:
-        """Whether the answer can no longer be replaced by another."""
-        return self._head is not None
-
-    def head(self, head: AnswerHead, producer: object) -> None:
-        """Write the head; the producer is slowed by a slow caller."""
-        self._head = head
-        if self._http10 and head.body_length is None:
-            self._held = bytearray()
-            return
-        lines = self._head_lines(head)
-        if head.body_length is None:
-            lines.append(b'transfer-encoding: chunked')
-        self._write_lines(lines)
-        self._transport.registerProducer(producer, True)
+    def held_bytes(self) -> int | None:
+        """Size of the body that is held, ``None`` once the head has left."""
+        return None if self._held is None else len(self._held)
 
     def body(self, data: bytes) -> None:
         """Write or hold a part of the body."""
-        head = self._head
-        if head is None:
-            return
         if self._held is not None:
             self._held += data
-        elif head.body_length is None:
+        elif self._chunked:
             self._transport.write(b'%x\r\n%b\r\n' % (len(data), data))
         else:
             self._transport.write(data)
 
     def finish(self) -> None:
         """Write what marks the end of the answer."""
-        head = self._head
-        if head is None:
-            return
         if self._held is not None:
-            lines = self._head_lines(head)
-            lines.append(b'content-length: %d' % len(self._held))
-            self._write_lines(lines)
+            self._write_head(b'content-length: %d' % len(self._held))
             self._transport.write(bytes(self._held))
-            return
-        if head.body_length is None:
+        elif self._chunked:
             self._transport.write(_LAST_CHUNK)
-        self._transport.unregisterProducer()
 
-    def _head_lines(self, head: AnswerHead) -> list[bytes]:
+    def _write_head(self, framing: bytes | None) -> None:
+        head = self._head
         lines = [b'HTTP/1.1 %d %b' % (head.status, head.reason)]
-        for name, text in head.headers:
-            if name == OUTCOME:
-                # It tells of a deeper level; ours is told below.
-                lines.append(b'%b: %b' % (INNER_OUTCOME, text))
-            elif name != REASON:
-                lines.append(b'%b: %b' % (name, text))
-        lines.append(b'%b: %b' % (OUTCOME, Outcome.ANSWERED.value.encode()))
-        if not self._keep_alive:
+        lines.extend(_passed_on(head.headers))
+        lines.append(_OWN_OUTCOME)
+        if framing is not None:
+            lines.append(framing)
+        if not self.keep_alive:
             lines.append(b'connection: close')
-        return lines
-
-    def _write_lines(self, lines: list[bytes]) -> None:
         lines.append(_END_OF_LINE)
         self._transport.write(_END_OF_LINE.join(lines))
+
+
+def _passed_on(headers: Headers) -> list[bytes]:
+    """Return the header lines, with a deeper level's outcome renamed.
+
+    Other marks of figdoor are meant for this node and not for the caller.
+    """
+    lines = []
+    for name, text in headers:
+        if not name.startswith(OWN_PREFIX):
+            lines.append(b'%b: %b' % (name, text))
+        elif name in {OUTCOME, INNER_OUTCOME}:
+            lines.append(b'%b: %b' % (INNER_OUTCOME, text))
+    return lines
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
@@ -4,6 +4,7 @@
 
 from figdoor_kernel import InstanceId, LoadReport
 
+OWN_PREFIX = b'figdoor-'
 OUTCOME = b'figdoor-outcome'
 INNER_OUTCOME = b'figdoor-inner-outcome'
 REASON = b'figdoor-reason'
@@ -26,6 +27,12 @@
     ),
 )
 
+# Naming one of these in ``Connection`` must not remove it: the message would
+# lose its framing, its target or its protection against running twice.
+_NEVER_REMOVED = frozenset(
+    (b'content-length', b'host', b'idempotency-key'),
+)
+
 Pairs = list[tuple[bytes, bytes]]
 
 
@@ -33,7 +40,8 @@
     """Return the headers without those that concern one connection only.
 
     Names must be in lower case. Headers that ``Connection`` names are
-    removed too (RFC 9110, section 7.6.1).
+    removed too (RFC 9110, section 7.6.1), but for a few that no message can
+    do without.
     """
     kept = []
     named: set[bytes] = set()
@@ -42,6 +50,7 @@
             named.update(word.strip().lower() for word in text.split(b','))
         elif name not in _HOP_BY_HOP:
             kept.append((name, text))
+    named -= _NEVER_REMOVED
     if named:
         return [pair for pair in kept if pair[0] not in named]
     return kept
--- a/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -12,12 +12,26 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 
+class BodySource(Protocol):
+    """Hands over the rest of a request's body as fast as it is taken.
+
+    It starts paused, and is resumed once the request is being sent.
+    """
+
+    def pause_body(self) -> None:
+        """Hold the body back, because the upstream reads slowly."""
+
+    def resume_body(self) -> None:
+        """Go on handing the body over."""
+
+
 @dataclass(slots=True)
 class OutboundRequest:
     """A request as it goes to an upstream.
 
     ``body`` holds the part that has arrived; ``body_complete`` says whether
     that is all. ``body_length`` is ``None`` for a body of unknown length.
+    ``body_source`` is set where more of the body may come.
     """
 
     method: bytes
@@ -26,6 +40,7 @@
     body: bytes
     body_complete: bool
     body_length: int | None
+    body_source: BodySource | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +69,11 @@
         """Check once more, right before the first byte leaves."""
 
     def unsent(self, refused: bool) -> None:
-        """Note that no byte left; ``refused`` where no connection opened."""
+        """Note that no byte left.
+
+        ``refused`` says that the upstream took no connection; otherwise the
+        send was not confirmed or the limit of connections was reached.
+        """
 
     def head(self, head: AnswerHead) -> None:
         """Take the head of the answer."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_sending.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_sending.py
@@ -9,7 +9,9 @@
 class HttpSending:
     """A request on its way over a connection that may still be opening.
 
-    Body parts that arrive before the connection is open are held.
+    Body parts that arrive before the connection is open are held. Once the
+    answer is complete the connection belongs to other requests, and whatever
+    is still asked of this attempt has no effect on it.
     """
 
     def __init__(
@@ -29,45 +31,55 @@
         """Send over this connection, if that is still allowed."""
         if self._cancelled:
             self._give_back(connection)
-            return
-        if not self._receiver.may_send():
+        elif self._receiver.may_send():
+            self._connection = connection
+            connection.send(self._request, self._receiver)
+        else:
             self._give_back(connection)
             self._receiver.unsent(refused=False)
-            return
-        self._connection = connection
-        connection.send(self._request, self._receiver)
 
-    def refuse(self) -> None:
-        """Report that no connection could be opened."""
+    def refuse(self, refused: bool) -> None:
+        """Report that no connection was opened."""
         if not self._cancelled:
-            self._receiver.unsent(refused=True)
+            self._receiver.unsent(refused)
 
     def cancel(self) -> None:
         """Give up; the receiver hears nothing more."""
         self._cancelled = True
-        if self._connection is not None:
-            self._connection.cancel()
+        connection = self._current()
+        if connection is not None:
+            connection.abort()
 
     def send_body(self, data: bytes) -> None:
         """Send a further part of the body, or hold it until connected."""
-        if self._connection is None:
+        connection = self._current()
+        if connection is not None:
+            connection.send_body(data)
+        elif self._connection is None:
             self._request.body += data
-        else:
-            self._connection.send_body(data)
 
     def finish_body(self) -> None:
         """End the body."""
-        if self._connection is None:
+        connection = self._current()
+        if connection is not None:
+            connection.finish_body()
+        elif self._connection is None:
             self._request.body_complete = True
-        else:
-            self._connection.finish_body()
 
     def pause(self) -> None:
         """Stop reading the answer."""
-        if self._connection is not None:
-            self._connection.transport.pauseProducing()
+        connection = self._current()
+        if connection is not None:
+            connection.pause()
 
     def resume(self) -> None:
         """Go on reading the answer."""
-        if self._connection is not None and self._connection.is_open:
-            self._connection.transport.resumeProducing()
+        connection = self._current()
+        if connection is not None:
+            connection.resume()
+
+    def _current(self) -> UpstreamConnection | None:
+        connection = self._connection
+        if connection is None or not connection.carries(self._receiver):
+            return None
+        return connection
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
@@ -1,31 +1,31 @@
 """Connections to all upstreams: warm ones first."""
 
-from collections import deque
 from functools import partial
 
-from loguru import logger
-from twisted.internet.endpoints import (
-    TCP4ClientEndpoint,
-    TCP6ClientEndpoint,
-    connectProtocol,
-)
-from twisted.python.failure import Failure
-
-from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_gateway.protocols import AnswerReceiver, OutboundRequest
-from figdoor_gateway.upstreams._connection import UpstreamConnection
+from figdoor_gateway.upstreams._pool import UpstreamPool
 from figdoor_gateway.upstreams._sending import HttpSending
-from figdoor_kernel import ConnectionsClosed, Node, Upstream, UpstreamId
+from figdoor_kernel import (
+    ConnectionsClosed,
+    Node,
+    ServiceName,
+    TablesAccepted,
+    Upstream,
+    UpstreamId,
+    VmListChanged,
+)
 
 
 class HttpUpstreamTransport:
-    """Keeps idle connections, since opening one costs about a millisecond."""
+    """Sends each request over a connection of its upstream's pool."""
 
     def __init__(self, node: Node) -> None:
-        """Read the limits from the node's settings."""
+        """Follow the tables and the VM list, which set the limits."""
         self._node = node
-        self._idle: dict[UpstreamId, deque[UpstreamConnection]] = {}
-        self._open_counts: dict[UpstreamId, int] = {}
+        self._pools: dict[UpstreamId, UpstreamPool] = {}
+        self._limits: dict[ServiceName, int] = {}
+        node.events.subscribe(TablesAccepted, self._on_change)
+        node.events.subscribe(VmListChanged, self._on_change)
 
     def send(
         self,
@@ -33,87 +33,70 @@
         request: OutboundRequest,
         receiver: AnswerReceiver,
     ) -> HttpSending:
-        """Send over an idle connection, or open one."""
-        upstream_id = upstream.upstream_id
-        sending = HttpSending(
-            request, receiver, partial(self._keep, upstream_id)
-        )
-        idle = self._idle.get(upstream_id)
-        while idle:
-            connection = idle.pop()
-            if connection.is_open:
-                sending.use(connection)
-                return sending
-        self._connect(upstream, sending)
+        """Send over an idle connection, or open one within the limit."""
+        pool = self._pool_of(upstream)
+        sending = HttpSending(request, receiver, pool.keep)
+        connection = pool.take()
+        if connection is not None:
+            sending.use(connection)
+        elif pool.open_count < self.limit_of(upstream.service):
+            pool.connect(sending)
+        else:
+            sending.refuse(refused=False)
         return sending
 
+    def limit_of(self, service: ServiceName) -> int:
+        """Return how many connections each upstream of a service may have.
+
+        It is this node's share of what a worker takes from the whole fleet.
+        """
+        limit = self._limits.get(service)
+        if limit is None:
+            limit = self._compute_limit(service)
+            self._limits[service] = limit
+        return limit
+
     def stop(self) -> None:
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for connection in tuple(idle):
-                connection.close()
-
-    def _connect(self, upstream: Upstream, sending: HttpSending) -> None:
-        upstream_id = upstream.upstream_id
-        kind = (
-            TCP6ClientEndpoint if ':' in upstream.host else TCP4ClientEndpoint
-        )
-        settings = self._node.settings
-        endpoint = kind(
-            reactor,
-            upstream.host,
-            upstream.port,
-            timeout=settings.connect_timeout_ms / MS_PER_SECOND,
+        for pool in self._pools.values():
+            pool.trim(0)
+
+    def _compute_limit(self, service: ServiceName) -> int:
+        tables = self._node.tables
+        pools = tables.pools.values() if tables else ()
+        connections = max(
+            (pool.connections for pool in pools if pool.service == service),
+            default=1,
         )
-        connection = UpstreamConnection(
-            partial(self._keep, upstream_id),
-            partial(self._forget, upstream_id),
-            settings.max_header_bytes,
+        nodes = max(1, len(self._node.fleet.nodes()))
+        return max(1, connections // nodes)
+
+    def _pool_of(self, upstream: Upstream) -> UpstreamPool:
+        pool = self._pools.get(upstream.upstream_id)
+        address = (upstream.host, upstream.port)
+        if pool is not None and pool.address == address:
+            return pool
+        if pool is not None:
+            # The upstream moved, so its connections lead to another instance.
+            pool.retire()
+        pool = UpstreamPool(
+            address,
+            self._node.settings,
+            partial(self._on_last_closed, upstream.upstream_id),
         )
-        connecting = connectProtocol(endpoint, connection)
-        connecting.addCallbacks(
-            partial(self._on_connected, upstream_id, sending),
-            partial(_on_refused, sending),
-        )
-        connecting.addErrback(_log_failure)
-
-    def _on_connected(
-        self,
-        upstream_id: UpstreamId,
-        sending: HttpSending,
-        connection: UpstreamConnection,
-    ) -> None:
-        known = self._open_counts.get(upstream_id, 0)
-        self._open_counts[upstream_id] = known + 1
-        sending.use(connection)
-
-    def _keep(
-        self,
-        upstream_id: UpstreamId,
-        connection: UpstreamConnection,
-    ) -> None:
-        if connection.is_open:
-            self._idle.setdefault(upstream_id, deque()).append(connection)
-
-    def _forget(
-        self,
-        upstream_id: UpstreamId,
-        connection: UpstreamConnection,
-    ) -> None:
-        idle = self._idle.get(upstream_id)
-        if idle and connection in idle:
-            idle.remove(connection)
-        left = self._open_counts.pop(upstream_id, 1) - 1
-        if left:
-            self._open_counts[upstream_id] = left
-            return
+        self._pools[upstream.upstream_id] = pool
+        return pool
+
+    def _on_change(self, event: TablesAccepted | VmListChanged) -> None:
+        self._limits.clear()
+        for upstream_id, pool in tuple(self._pools.items()):
+            upstream = self._node.fleet.find(upstream_id)
+            if upstream is not None:
+                pool.trim(self.limit_of(upstream.service))
+                continue
+            pool.retire()
+            self._pools.pop(upstream_id)
+
+    def _on_last_closed(self, upstream_id: UpstreamId) -> None:
         now_ms = self._node.clock.now_ms()
         self._node.events.publish(ConnectionsClosed(upstream_id, now_ms))
-
-
-def _on_refused(sending: HttpSending, reason: Failure) -> None:
-    sending.refuse()
-
-
-def _log_failure(failure: Failure) -> None:
-    logger.error('sending to an upstream failed: {}', failure.getTraceback())
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -194,6 +194,7 @@
         self._tried: set[str] = set()
         self._attempt: _CurrentAttempt | None = None
         self._finish: Finish | None = None
+        self._may_have_run = False
 
     def next_step(self, now_ms: float) -> Step:
         """Return what to do now; call it again after each ended attempt."""
@@ -251,6 +252,8 @@
             return
         was_answering = attempt.record.state is AttemptState.ANSWERING
         _ENDINGS[seen.state](attempt.life)
+        if seen.state is AttemptState.LOST:
+            self._may_have_run = True
         self._attempt = None
         self._events.publish(
             AttemptEnded(
@@ -368,6 +371,10 @@
         refusal: Refusal | None,
         now_ms: float,
     ) -> Finish:
+        if outcome is Outcome.NOT_RUN and self._may_have_run:
+            # An earlier attempt was lost, so the last one alone proves
+            # nothing.
+            outcome = Outcome.UNKNOWN
         self._finish = Finish(outcome, refusal)
         self._events.publish(
             CallClosed(
--- /dev/null
+++ b/tests/gateway/frontend/test_parsing.py
@@ -0,0 +1,152 @@
+"""Requests that must be refused, and what is read from the others."""
+
+import pytest
+
+from figdoor_gateway.frontend._checks import BadRequestError
+from figdoor_gateway.frontend._parsing import RequestParser
+
+HOST = b'Host: a\r\n'
+MALFORMED = {
+    'length and chunked': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: 1\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    ),
+    'chunked and length': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Transfer-Encoding: chunked\r\n'
+        b'Content-Length: 1\r\n\r\n'
+    ),
+    'two lengths': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: 1\r\n'
+        b'Content-Length: 1\r\n\r\na'
+    ),
+    'list of lengths': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: 1, 1\r\n\r\na'
+    ),
+    'signed length': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: +1\r\n\r\na'
+    ),
+    'huge length': (
+        b'POST / HTTP/1.1\r\n'
+        + HOST
+        + b'Content-Length: 1%b\r\n\r\n' % (b'0' * 16)
+    ),
+    'unknown coding': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Transfer-Encoding: gzip\r\n\r\n'
+    ),
+    'two codings': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Transfer-Encoding: gzip\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    ),
+    'chunked in 1.0': (
+        b'POST / HTTP/1.0\r\n' + HOST + b'Transfer-Encoding: chunked\r\n\r\n'
+    ),
+    'bad chunk size': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Transfer-Encoding: chunked\r\n\r\n'
+        b'zz\r\n'
+    ),
+    'two hosts': b'GET / HTTP/1.1\r\n' + HOST + HOST + b'\r\n',
+    'no host': b'GET / HTTP/1.1\r\n\r\n',
+    'host with path': b'GET / HTTP/1.1\r\nHost: a/b\r\n\r\n',
+    'absolute form': b'GET http://a/ HTTP/1.1\r\n' + HOST + b'\r\n',
+    'authority form': b'CONNECT a:1 HTTP/1.1\r\n' + HOST + b'\r\n',
+    'asterisk form': b'GET * HTTP/1.1\r\n' + HOST + b'\r\n',
+    'fragment': b'GET /a#b HTTP/1.1\r\n' + HOST + b'\r\n',
+    'control character': b'GET /\x01 HTTP/1.1\r\n' + HOST + b'\r\n',
+    'other charset': b'GET /\xff HTTP/1.1\r\n' + HOST + b'\r\n',
+    'line folding': b'GET / HTTP/1.1\r\n' + HOST + b'A: b\r\n c\r\n\r\n',
+    'nul': b'GET / HTTP/1.1\r\n' + HOST + b'A: b\0\r\n\r\n',
+    'bare CR': b'GET / HTTP/1.1\r\n' + HOST + b'A: b\rc\r\n\r\n',
+    'bare LF': b'GET / HTTP/1.1\nHost: a\n\n',
+    'space before colon': b'GET / HTTP/1.1\r\n' + HOST + b'A : b\r\n\r\n',
+    'version 0.9': b'GET /\r\n\r\n',
+    'version 2.0': b'GET / HTTP/2.0\r\n' + HOST + b'\r\n',
+    'upgrade with body': (
+        b'POST / HTTP/1.1\r\n' + HOST + b'Connection: upgrade\r\n'
+        b'Upgrade: h2c\r\nContent-Length: 1\r\n\r\na'
+    ),
+    'not http': b'\x16\x03\x01\x02\x00',
+}
+
+
+class Requests:
+    """Keeps what a parser hands on."""
+
+    def __init__(self, max_header_bytes=1000):
+        self.heads = []
+        self.bodies = b''
+        self.ends = 0
+        self.parser = RequestParser(
+            self.heads.append,
+            self._on_body,
+            self._on_end,
+            max_header_bytes,
+        )
+
+    def _on_body(self, request, data):
+        self.bodies += data
+
+    def _on_end(self, request):
+        self.ends += 1
+
+
+class TestRequestParser:
+    @pytest.mark.parametrize('name', MALFORMED)
+    def test_malformed_or_ambiguous_request_is_refused(self, name):
+        requests = Requests()
+        with pytest.raises(BadRequestError) as caught:
+            requests.parser.feed(MALFORMED[name])
+        assert caught.value.status == 400
+        assert not requests.ends
+
+    @pytest.mark.parametrize('name', MALFORMED)
+    def test_request_cut_into_single_bytes_is_refused_all_the_same(self, name):
+        requests = Requests()
+        with pytest.raises(BadRequestError):
+            for byte in MALFORMED[name]:
+                requests.parser.feed(bytes((byte,)))
+
+    @pytest.mark.parametrize(
+        'head',
+        [
+            b'A: %b\r\n' % (b'a' * 1000),
+            b'A: b\r\n' * 129,
+            b'A: %b\r\n' % (b'a' * 500) * 2,
+        ],
+    )
+    def test_oversized_head_is_refused(self, head):
+        requests = Requests()
+        with pytest.raises(BadRequestError) as caught:
+            requests.parser.feed(b'GET / HTTP/1.1\r\n' + HOST + head + b'\r\n')
+        assert caught.value.status == 431
+
+    def test_header_without_end_is_refused_before_it_fills_memory(self):
+        requests = Requests()
+        requests.parser.feed(b'GET / HTTP/1.1\r\n' + HOST + b'A: ')
+        with pytest.raises(BadRequestError) as caught:
+            for _ in range(20):
+                requests.parser.feed(b'a' * 100)
+        assert caught.value.status == 431
+
+    def test_many_pipelined_requests_are_no_oversized_head(self):
+        requests = Requests()
+        one = b'GET / HTTP/1.1\r\n' + HOST + b'\r\n'
+        requests.parser.feed(one * 100 + one[:20])
+        requests.parser.feed(one[20:])
+        assert requests.ends == 101
+
+    def test_trailers_do_not_become_headers(self):
+        requests = Requests()
+        requests.parser.feed(
+            b'POST / HTTP/1.1\r\n' + HOST + b'Transfer-Encoding: chunked\r\n'
+            b'\r\n1\r\na\r\n0\r\nHost: evil\r\nFigdoor-Attempt: 9\r\n\r\n',
+        )
+        assert requests.bodies == b'a'
+        names = [name for name, _ in requests.heads[0].headers]
+        assert names == [b'host', b'transfer-encoding']
+
+    def test_offer_to_upgrade_is_ignored(self):
+        requests = Requests()
+        offer = b'Connection: upgrade\r\nUpgrade: h2c\r\n\r\n'
+        request = b'GET / HTTP/1.1\r\n' + HOST + offer
+        requests.parser.feed(request * 2)
+        assert requests.ends == 2
--- /dev/null
+++ b/tests/gateway/frontend/test_proxying.py
@@ -0,0 +1,175 @@
+"""What callers are told, whatever an upstream does."""
+
+import pytest
+from wires import GET, HEAD, FrontEndRig
+
+POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
+LARGE = POST + b'Content-Length: 300\r\n\r\n' + b'a' * 200
+CHUNKED = POST + b'Transfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.fixture
+def rig(monkeypatch):
+    return FrontEndRig(
+        monkeypatch,
+        max_buffered_body_bytes=100,
+        max_body_bytes=1000,
+    )
+
+
+class TestAnswers:
+    def test_head_answer_has_a_length_and_no_body(self, rig):
+        _, wire = rig.request(GET.replace(b'GET', b'HEAD'))
+        rig.sendings[0].answer(
+            body=b'',
+            length=0,
+            headers=[(b'content-length', b'5')],
+            whole=False,
+        )
+        rig.sendings[0].receiver.complete()
+        assert wire.value().endswith(b'\r\n\r\n')
+        assert b'content-length: 5' in wire.value()
+
+    def test_chunked_answer_ends_with_the_last_chunk(self, rig):
+        _, wire = rig.request()
+        rig.sendings[0].answer(body=b'abc', length=None)
+        assert wire.value().endswith(b'3\r\nabc\r\n0\r\n\r\n')
+
+    def test_http10_caller_gets_a_length_instead_of_chunks(self, rig):
+        _, wire = rig.request(b'GET /x HTTP/1.0\r\n\r\n')
+        rig.sendings[0].answer(body=b'abc', length=None)
+        assert b'content-length: 3' in wire.value()
+        assert b'transfer-encoding' not in wire.value()
+
+    def test_answer_too_large_to_hold_for_http10_is_unknown(self, rig):
+        _, wire = rig.request(b'GET /x HTTP/1.0\r\n\r\n')
+        rig.sendings[0].answer(body=b'a' * 1001, length=None, whole=False)
+        assert wire.value().startswith(b'HTTP/1.1 502')
+        assert rig.sendings[0].cancelled
+
+    def test_cut_answer_is_cut_for_the_caller_too(self, rig):
+        _, wire = rig.request()
+        rig.sendings[0].answer(body=b'ab', length=4, whole=False)
+        rig.sendings[0].receiver.lost(connection_died=True)
+        assert wire.aborted
+        assert len(rig.sendings) == 1
+
+    def test_cut_answer_held_for_http10_is_told_as_unknown(self, rig):
+        _, wire = rig.request(b'POST /x HTTP/1.0\r\nContent-Length: 0\r\n\r\n')
+        rig.sendings[0].answer(body=b'ab', length=None, whole=False)
+        rig.sendings[0].receiver.lost(connection_died=True)
+        assert wire.value().startswith(b'HTTP/1.1 502')
+
+    def test_marks_of_figdoor_are_not_passed_to_the_caller(self, rig):
+        _, wire = rig.request()
+        marks = [
+            (b'figdoor-outcome', b'not-run'),
+            (b'figdoor-shed', b'1'),
+            (b'figdoor-reason', b'x'),
+        ]
+        rig.sendings[0].answer(headers=marks)
+        head = wire.value().partition(b'\r\n\r\n')[0]
+        marks = [line for line in head.split(b'\r\n') if b'figdoor' in line]
+        assert marks == [
+            b'figdoor-inner-outcome: not-run',
+            b'figdoor-outcome: answered',
+        ]
+
+
+class TestOutcomes:
+    def test_marks_a_caller_sends_do_not_reach_the_upstream(self, rig):
+        marks = b'Figdoor-Attempt: 9\r\nFigdoor-Shed: 1\r\nfigdoor-x: 1\r\n'
+        rig.request(HEAD + marks + b'\r\n')
+        names = [name for name, _ in rig.sendings[0].request.headers]
+        assert names == [b'host', b'figdoor-deadline-ms', b'figdoor-attempt']
+
+    def test_lost_post_is_unknown_and_sent_once(self, rig):
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        rig.sendings[0].receiver.lost(connection_died=True)
+        assert wire.value().startswith(b'HTTP/1.1 502')
+        assert b'figdoor-outcome: unknown' in wire.value()
+        assert len(rig.sendings) == 1
+
+    def test_shed_post_is_sent_elsewhere(self, rig):
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        rig.sendings[0].answer(503, shed=True)
+        rig.sendings[1].answer()
+        assert wire.value().startswith(b'HTTP/1.1 200')
+
+    def test_shed_everywhere_is_not_run(self, rig):
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        for number in range(2):
+            rig.sendings[number].answer(503, shed=True)
+        assert wire.value().startswith(b'HTTP/1.1 503')
+        assert b'figdoor-outcome: not-run' in wire.value()
+
+    def test_shed_after_a_lost_attempt_is_unknown(self, rig):
+        _, wire = rig.request()
+        rig.sendings[0].receiver.lost(connection_died=True)
+        rig.sendings[1].answer(503, shed=True)
+        assert wire.value().startswith(b'HTTP/1.1 502')
+        assert b'figdoor-outcome: unknown' in wire.value()
+
+    def test_deadline_cancels_and_tells_unknown(self, rig):
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        rig.clock.advance_ms(1001)
+        assert wire.value().startswith(b'HTTP/1.1 504')
+        assert rig.sendings[0].cancelled
+
+    def test_deadline_before_the_send_is_not_run(self, rig):
+        rig.upstreams.auto_confirm = False
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        rig.clock.advance_ms(1001)
+        assert b'figdoor-outcome: not-run' in wire.value()
+
+    def test_refused_connection_is_tried_elsewhere(self, rig):
+        rig.upstreams.auto_confirm = False
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        rig.sendings[0].receiver.unsent(refused=True)
+        assert len(rig.sendings) == 2
+
+
+class TestUpload:
+    def test_large_body_is_read_only_once_it_is_being_sent(self, rig):
+        connection, wire = rig.request(LARGE)
+        assert wire.paused
+        rig.sendings[0].request.body_source.resume_body()
+        assert not wire.paused
+        connection.dataReceived(b'b' * 100)
+        assert rig.sendings[0].late_body == b'b' * 100
+        assert rig.sendings[0].finished
+        rig.sendings[0].answer()
+        assert not wire.closed
+
+    def test_slow_upstream_slows_the_caller(self, rig):
+        _, wire = rig.request(LARGE)
+        source = rig.sendings[0].request.body_source
+        source.resume_body()
+        source.pause_body()
+        assert wire.paused
+
+    def test_body_that_comes_between_attempts_is_not_lost(self, rig):
+        rig.upstreams.auto_confirm = False
+        connection, _ = rig.request(LARGE)
+        first = rig.sendings[0]
+        first.request.body += b'held by the transport'
+        first.receiver.unsent(refused=True)
+        second = rig.sendings[1].request
+        assert second.body == b'a' * 200 + b'held by the transport'
+
+    def test_answer_before_the_body_ends_closes_after_it(self, rig):
+        connection, wire = rig.request(LARGE)
+        rig.sendings[0].answer(413)
+        assert b'connection: close' in wire.value()
+        assert wire.half_closed
+        assert not wire.paused
+        connection.dataReceived(b'b' * 100)
+        assert not rig.sendings[0].late_body
+
+    def test_chunks_are_passed_on_as_they_come(self, rig):
+        connection, _ = rig.request(CHUNKED + b'c8\r\n%b\r\n' % (b'a' * 200))
+        sending = rig.sendings[0]
+        assert sending.request.body_length is None
+        connection.dataReceived(b'2\r\nbc\r\n0\r\nX-Trailer: 1\r\n\r\n')
+        assert sending.late_body == b'bc'
+        assert sending.finished
--- a/tests/kernel/test_dispatcher.py
+++ b/tests/kernel/test_dispatcher.py
@@ -125,3 +125,47 @@
         attempt.send()
         with pytest.raises(NoTransition):
             attempt.fail_unsent()
+
+
+class TestOutcomeAfterLoss:
+    """Not run may be told only when no attempt can have run the call."""
+
+    def setup_method(self):
+        self.node = make_node()
+        self.clock = self.node.clock
+        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2', 'z2'))
+        give_tables(self.node)
+
+    def begin(self, exchange):
+        assert isinstance(exchange.next_step(self.clock.now_ms()), Send)
+        assert exchange.confirm_send(self.clock.now_ms())
+
+    def lose_first(self):
+        exchange = Dispatcher(self.node).open(
+            make_call(),
+            self.clock.now_ms(),
+            lambda: None,
+        )
+        self.begin(exchange)
+        exchange.end(NOTHING, self.clock.now_ms())
+        return exchange
+
+    def test_no_upstream_left_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        give_vms(self.node)
+        step = exchange.next_step(self.clock.now_ms())
+        assert step == Finish(Outcome.UNKNOWN, Refusal.NO_UPSTREAM)
+
+    def test_shed_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        self.begin(exchange)
+        shed = AttemptResult(AttemptState.SHED, final=True)
+        exchange.end(shed, self.clock.now_ms())
+        step = exchange.next_step(self.clock.now_ms())
+        assert step == Finish(Outcome.UNKNOWN)
+
+    def test_deadline_between_attempts_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        exchange.abandon(self.clock.now_ms())
+        step = exchange.next_step(self.clock.now_ms())
+        assert step == Finish(Outcome.UNKNOWN, Refusal.DEADLINE)
--- /dev/null
+++ b/tests/wires.py
@@ -0,0 +1,177 @@
+"""A front end or an upstream connection on fake transports and a clock."""
+
+import pytest
+from returns.pipeline import is_successful
+from support import (
+    ManualClock,
+    give_tables,
+    give_vms,
+    io_free_registry,
+    make_node,
+    upstream_vm,
+)
+from twisted.internet.testing import StringTransport
+
+from figdoor_gateway import loop
+from figdoor_gateway.frontend import HttpFrontEnd
+from figdoor_gateway.protocols import AnswerHead
+from figdoor_gateway.settings import read_settings
+from figdoor_kernel import Extension
+
+HEAD = b'GET /x HTTP/1.1\r\nHost: any.example\r\n'
+GET = HEAD + b'\r\n'
+WRITE_LIMIT = 65536
+
+
+def make_settings(**fields):
+    """Return settings with these fields set."""
+    flags = {
+        'node_id': 'n1',
+        'availability_zone': 'z1',
+        'platform_url': 'http://127.0.0.1:1',
+        'chooser': 'power-of-two',
+        **fields,
+    }
+    read = read_settings(
+        ['figdoor', *(f'--{name}={text}' for name, text in flags.items())],
+        {},
+    )
+    assert is_successful(read), read.failure()
+    return read.unwrap()
+
+
+class Wire(StringTransport):
+    """A transport that also knows half-closing and TCP options."""
+
+    def __init__(self):
+        super().__init__()
+        self.half_closed = False
+        self.aborted = False
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+    def loseWriteConnection(self):
+        self.half_closed = True
+
+    def abortConnection(self):
+        self.aborted = True
+        super().abortConnection()
+
+    @property
+    def paused(self):
+        return self.producerState == 'paused'
+
+    @property
+    def closed(self):
+        return self.disconnecting or self.half_closed or self.aborted
+
+
+class FakeSending:
+    """One attempt as a test sees it; the test plays the upstream."""
+
+    def __init__(self, upstream, request, receiver):
+        self.upstream = upstream
+        self.request = request
+        self.receiver = receiver
+        self.late_body = b''
+        self.finished = request.body_complete
+        self.cancelled = False
+        self.paused = False
+
+    def cancel(self):
+        self.cancelled = True
+
+    def send_body(self, data):
+        self.late_body += data
+
+    def finish_body(self):
+        self.finished = True
+
+    def pause(self):
+        self.paused = True
+
+    def resume(self):
+        self.paused = False
+
+    def confirm(self):
+        """Let the first byte leave."""
+        return self.receiver.may_send()
+
+    def answer(
+        self,
+        status=200,
+        body=b'ok',
+        headers=(),
+        shed=False,
+        length=-1,
+        whole=True,
+    ):
+        """Answer, in chunks where ``length`` is ``None``."""
+        length = len(body) if length == -1 else length
+        pairs = [*headers]
+        if length is not None:
+            pairs.append((b'content-length', b'%d' % length))
+        head = AnswerHead(status, b'S', pairs, length, shed, False, None)
+        self.receiver.head(head)
+        if body:
+            self.receiver.body(body)
+        if whole:
+            self.receiver.complete()
+
+
+class FakeUpstreams:
+    """An upstream transport that keeps what it is asked to send."""
+
+    def __init__(self, node=None):
+        self.sendings = []
+        self.auto_confirm = True
+
+    def send(self, upstream, request, receiver):
+        sending = FakeSending(upstream, request, receiver)
+        self.sendings.append(sending)
+        if self.auto_confirm:
+            assert sending.confirm()
+        return sending
+
+    def stop(self):
+        pass
+
+
+class FrontEndRig:
+    """A front end whose callers and upstreams are played by the test."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, **settings):
+        self.clock = ManualClock()
+        monkeypatch.setattr(loop, 'reactor', self.clock.reactor)
+        registry = io_free_registry()
+        registry.provide(Extension.UPSTREAM_TRANSPORT, 'http', FakeUpstreams)
+        self.node = make_node(clock=self.clock, registry=registry)
+        self.node.settings = make_settings(**settings)
+        self.upstreams = self.node.part(Extension.UPSTREAM_TRANSPORT, 'http')
+        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2', 'z2'))
+        give_tables(self.node)
+        self.front_end = HttpFrontEnd(self.node)
+
+    @property
+    def sendings(self):
+        return self.upstreams.sendings
+
+    def connect(self):
+        """Return a new caller's connection and its wire."""
+        connection = self.front_end.buildProtocol(None)
+        wire = Wire()
+        connection.makeConnection(wire)
+        return connection, wire
+
+    def request(self, data=GET):
+        """Send bytes on a new connection."""
+        connection, wire = self.connect()
+        connection.dataReceived(data)
+        return connection, wire
+
+    def after_ms(self, delay_ms):
+        """Let time pass and have all connections checked."""
+        self.clock.advance_ms(delay_ms)
+        for connection in tuple(self.front_end._connections):
+            connection.check_timeouts(self.clock.now_ms())
