--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -57,7 +57,7 @@
 
     def _go_on_stopping(self, now_ms: float) -> None:
         front_end = self._front_end()
-        phase = self._plan.phase(front_end.busy_count, now_ms)
+        phase = self._plan.phase(front_end.unfinished_count, now_ms)
         if phase is StopPhase.GRACE:
             return
         if not self._is_closed:
