Let the demo drive load through failures and check promises

Cause: the demo sent 50 reads one after another, so it showed neither concurrent load nor a failure, and could not tell a broken promise.

Change: the demo is a package.

--- /dev/null
+++ b/standins/src/figdoor_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""``make demo``: real requests through two gateways while parts fail."""
--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -2,7 +2,8 @@
 
 ``python -m figdoor_standins.upstream --port 9001 --slots 6`` serves requests
 on loopback. ``GET /_executions`` tells how often each request id
-(``x-request-id``) was run, ``GET /load`` is the probe, and
+(``x-request-id``) was run and when the last request started (milliseconds of
+``CLOCK_BOOTTIME``), ``GET /load`` is the probe, and
 ``POST /_control?name=value`` sets a field of ``Behaviour``, for example
 ``/_control?service_ms=50&draining=1``.
 """
@@ -20,12 +21,31 @@
 from twisted.internet import reactor
 from twisted.internet.protocol import Factory, Protocol
 
+from figdoor_standins.clock import clock_ms
+
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('port', 9001, 'port on loopback')
 flags.DEFINE_integer('slots', 6, 'requests that run at once')
 flags.DEFINE_float('service_ms', 2, 'time that a request runs')
 flags.DEFINE_integer('queue_limit', 4, 'requests that wait; more are shed')
 flags.DEFINE_string('instance', '', 'instance mark; default: pid and port')
+flags.DEFINE_string('journal', '', 'file that outlives a killed upstream')
+
+
+class Journal:
+    """Appends what the upstream starts, one JSON object a line.
+
+    Each line is written at once, so that it is there after a kill.
+    """
+
+    def __init__(self, path):
+        flags_wanted = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self.file = os.open(path, flags_wanted, 0o644) if path else None
+
+    def write(self, kind, request_id=''):
+        if self.file is not None:
+            line = {'kind': kind, 'id': request_id, 'at_ms': clock_ms()}
+            os.write(self.file, f'{json.dumps(line)}\n'.encode())
 
 
 @dataclass
@@ -57,7 +77,8 @@
     most_running: int = 0
     fallen: bool = False
     probes: int = 0
-    started: list = field(default_factory=list)
+    last_started_ms: float | None = None
+    journal: Journal = field(default_factory=lambda: Journal(''))
     executions: Counter = field(default_factory=Counter)
     waiting: deque = field(default_factory=deque)
 
@@ -83,6 +104,8 @@
         if behaviour.cold_limit and self.running > behaviour.cold_limit:
             self.fallen = True
         request_id = connection.request_id
+        self.last_started_ms = clock_ms()
+        self.journal.write('run', request_id)
         if request_id:
             self.executions[request_id] += 1
         delay_s = 0 if behaviour.fail_fast else behaviour.service_ms / 1000
@@ -164,12 +187,13 @@
                         'fallen': self.worker.fallen,
                         'probes': self.worker.probes,
                         'running': self.worker.running,
-                        'last_started_ms': self.worker.started[-1:],
+                        'last_started_ms': self.worker.last_started_ms,
                     },
                 ).encode(),
             )
         elif path == '/load':
             self.worker.probes += 1
+            self.worker.journal.write('probe')
             self.write(200, b'')
         else:
             self.worker.take(self)
@@ -230,7 +254,7 @@
         slots=FLAGS.slots,
         queue_limit=FLAGS.queue_limit,
     )
-    worker = Worker(behaviour, instance)
+    worker = Worker(behaviour, instance, journal=Journal(FLAGS.journal))
     factory = Factory()
     factory.noisy = False
     factory.buildProtocol = lambda _: UpstreamProtocol(worker)
