Add figdoor-ctl status and help for every command

Cause: operators could read what is in force only node by node in a browser, and figdoor-ctl did not explain its commands.

Change: figdoor-ctl status asks the operator ports of several nodes, prints what is in force on each and one line for each fact on which they disagree (revision, state, findings, rows). Exit codes: 0 all ready and equal, 1 not, 2 wrong usage or an unreadable node.

--- a/packages/figdoor-ctl/src/figdoor_ctl/commands/__init__.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/commands/__init__.py
@@ -1,9 +1,8 @@
-"""The commands of ``figdoor-ctl``, each a plain function."""
+"""The commands of ``figdoor-ctl``, in the order in which help lists them."""
 
-from figdoor_ctl.commands._check import check
+from figdoor_ctl.commands._check import CHECK
+from figdoor_ctl.commands._status import STATUS
 
-COMMANDS = {
-    'check': check,
-}
+COMMANDS = {command.name: command for command in (CHECK, STATUS)}
 
-__all__ = ('COMMANDS', 'check')
+__all__ = ('COMMANDS',)
--- a/packages/figdoor-ctl/src/figdoor_ctl/commands/_check.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/commands/_check.py
@@ -6,33 +6,33 @@
 
 from returns.result import Failure, Success
 
+from figdoor_ctl.command import Command, wrong_usage
 from figdoor_ctl.exits import Exit
 from figdoor_kernel import Revision, render_findings
 from figdoor_tables import POOLS_TABLE, ROUTES_TABLE, read_tables
 
-USAGE = 'usage: figdoor-ctl check ROUTES.csv POOLS.csv'
+_DESCRIPTION = """\
+Checks both tables before they are published and prints every finding with its
+place: the table, the row and the column. The files are told apart by their
+names, which must contain "routes" and "pools".
 
+Exit codes: 0 no findings, 1 findings, 2 wrong usage or an unreadable file."""
 
-def check(arguments: Sequence[str], out: TextIO) -> Exit:
-    """Check both tables and print every finding with its place.
 
-    The files are told apart by their names, which must contain ``routes``
-    and ``pools``.
-    """
+def check(arguments: Sequence[str], out: TextIO) -> Exit:
+    """Check both tables and print every finding with its place."""
     texts: dict[str, str] = {}
     for argument in arguments:
         table = _table_of(argument)
         if table is None or table in texts:
-            out.write(f'{USAGE}\n')
-            return Exit.USAGE
+            return wrong_usage(CHECK.usage, out)
         try:
             texts[table] = Path(argument).read_text(encoding='utf-8')
         except (OSError, UnicodeDecodeError) as error:
             out.write(f'{argument}: cannot be read: {error}\n')
             return Exit.USAGE
     if len(texts) != 2:
-        out.write(f'{USAGE}\n')
-        return Exit.USAGE
+        return wrong_usage(CHECK.usage, out)
     return _report(texts, out)
 
 
@@ -55,3 +55,12 @@
         if table in name:
             return table
     return None
+
+
+CHECK = Command(
+    'check',
+    'ROUTES.csv POOLS.csv',
+    'check both tables before they are published',
+    _DESCRIPTION,
+    check,
+)
--- /dev/null
+++ b/tests/ctl/test_check.py
@@ -0,0 +1,80 @@
+"""``figdoor-ctl check``: findings, exit codes and help."""
+
+from io import StringIO
+
+import pytest
+from support import POOLS, ROUTES
+
+from figdoor_ctl.cli import main
+from figdoor_ctl.commands import COMMANDS
+
+WRONG_ROUTES = """\
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+a,     *,         orders,      GET,        work, GET,        t1,     1000,        20
+b,     *,         /b,          GET,        nope, GET,        t1,     1000,        20
+c,     *,         /c,          GET,        work, POST,       t1,     0,           20
+c,     *,         /d,          GET,        work, GET,        t1,     1000,        20
+"""
+
+WRONG_POOLS = """\
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+work, work,    z1,                 6,     250,         7,          2
+"""
+
+SIX_FINDINGS = """\
+routes:2:path_prefix: 'orders' does not start with /
+routes:4:deadline_ms: 0 is not within 1..600000
+routes:5:route: repeats route of row 4
+routes:3:pool: names no pool: 'nope'
+routes:4:idempotent: lists POST, which operations does not
+pools:2:cold_limit: is larger than slots
+"""
+
+
+def run(*arguments):
+    out = StringIO()
+    return main([str(one) for one in arguments], out), out.getvalue()
+
+
+class TestCheck:
+    @pytest.fixture(autouse=True)
+    def folder(self, tmp_path):
+        self.routes = tmp_path / 'routes.csv'
+        self.pools = tmp_path / 'pools.csv'
+        self.routes.write_text(ROUTES, encoding='utf-8')
+        self.pools.write_text(POOLS, encoding='utf-8')
+
+    def test_tables_without_findings_exit_with_0(self):
+        code, text = run('check', self.pools, self.routes)
+        assert (code, text) == (0, 'fine: 2 routes, 1 pools\n')
+
+    def test_six_mistakes_print_six_findings_with_their_places(self):
+        self.routes.write_text(WRONG_ROUTES, encoding='utf-8')
+        self.pools.write_text(WRONG_POOLS, encoding='utf-8')
+        assert run('check', self.routes, self.pools) == (1, SIX_FINDINGS)
+
+    def test_unreadable_file_exits_with_2_and_is_named(self):
+        self.pools.write_bytes(b'\xff\xfe')
+        code, text = run('check', self.routes, self.pools)
+        assert code == 2
+        assert str(self.pools) in text
+
+    @pytest.mark.parametrize('count', [0, 1, 3])
+    def test_wrong_number_of_files_exits_with_2(self, count):
+        files = (self.routes, self.pools, self.routes)[:count]
+        code, text = run('check', *files)
+        assert code == 2
+        assert text.startswith('usage: figdoor-ctl check')
+
+
+class TestHelp:
+    @pytest.mark.parametrize('name', list(COMMANDS))
+    def test_each_command_explains_itself_and_its_exit_codes(self, name):
+        assert f'  {name} ' in run('--help')[1]
+        code, text = run(name, '--help')
+        assert code == 0
+        assert text.startswith(f'usage: figdoor-ctl {name}')
+        assert 'Exit codes:' in text
+
+    def test_unknown_command_exits_with_2(self):
+        assert run('erase')[0] == 2
