Confirm the config lease by neighbours and hold the first tables back

Cause: a node relied on the service alone for its lease, and a node restarted with an empty memory put an old value of the service in force.

Readiness names what a starting node waits for.

--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/__init__.py
@@ -1,10 +1,10 @@
 """Which pair of tables is in force, and how long a node may trust it."""
 
-from figdoor_decisions.configuration._acceptance import Acceptance
+from figdoor_decisions.configuration._acceptance import Acceptance, StartRule
 from figdoor_decisions.configuration._lease import ConfigLease, LeaseRule
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('Acceptance', 'ConfigLease', 'LeaseRule', 'register')
+__all__ = ('Acceptance', 'ConfigLease', 'LeaseRule', 'StartRule', 'register')
 
 
 def register(registry: Registry) -> None:
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
@@ -1,34 +1,58 @@
 """Accepts newer tables without findings; never goes back."""
 
+from typing import Protocol
+
 from returns.result import Failure, Success
 
 from figdoor_kernel import (
+    Extension,
     Finding,
     NewsWanted,
     Node,
     Revision,
     RevisionAccepted,
+    Tables,
     TablesAccepted,
     TablesOffered,
     TablesRefused,
+    Tick,
 )
 from figdoor_tables import read_tables
 
 
+class StartRule(Protocol):
+    """Says whether a node knows enough to put its first tables in force."""
+
+    joined: bool
+
+    def may_accept(self, revision: Revision, now_ms: float) -> bool:
+        """Return whether tables of this revision may come into force."""
+
+    def missing(self, revision: Revision, now_ms: float) -> str | None:
+        """Return what the node waits for, or ``None``."""
+
+
 class Acceptance:
     """Decides about each offered pair of tables.
 
     The pair with the highest revision that has no findings is in force. A
     refused revision is remembered, so that operators can read its findings
-    and it is not read again.
+    and it is not read again. The first pair is held back until the start
+    rule allows it, since the service may serve an old one.
     """
 
     def __init__(self, node: Node) -> None:
         """Follow offers from the service and from peers."""
         self._node = node
+        self._start_rule: StartRule = node.part(
+            Extension.SERVICE,
+            'start-rule',
+        )
+        self._held: Tables | None = None
         self.refused_revision = Revision(0)
         self.findings: tuple[Finding, ...] = ()
         node.events.subscribe(TablesOffered, self._on_offered)
+        node.events.subscribe(Tick, self._on_tick)
 
     def start(self) -> None:
         """Need no start."""
@@ -42,23 +66,58 @@
         tables = self._node.tables
         return tables.revision if tables else Revision(0)
 
+    @property
+    def known_revision(self) -> Revision:
+        """The newest revision that was in force, held back or refused."""
+        held = self._held.revision if self._held else Revision(0)
+        return max(self.revision, held, self.refused_revision)
+
+    def waits_for(self, now_ms: float) -> str | None:
+        """Return why no tables are in force, or ``None`` where some are."""
+        if self._node.tables is not None:
+            return None
+        if self._held is None:
+            return 'tables'
+        return self._start_rule.missing(self._held.revision, now_ms)
+
     def _on_offered(self, event: TablesOffered) -> None:
-        known = (self.revision, self.refused_revision)
-        if event.revision <= known[0] or event.revision == known[1]:
+        held = self._held.revision if self._held else Revision(0)
+        known = max(self.revision, held)
+        if event.revision <= known or event.revision == self.refused_revision:
             return
-        events = self._node.events
         match read_tables(
             event.revision,
             event.routes_text,
             event.pools_text,
         ):
             case Success(tables):
-                events.publish(TablesAccepted(tables, event.now_ms))
-                news = RevisionAccepted(tables.revision)
-                events.publish(NewsWanted(news, event.now_ms))
+                self._held = tables
+                self._accept_held(event.now_ms)
             case Failure(findings):
-                self.refused_revision = event.revision
-                self.findings = findings
-                events.publish(
-                    TablesRefused(event.revision, findings, event.now_ms),
-                )
+                self._refuse(event, findings)
+
+    def _on_tick(self, event: Tick) -> None:
+        if self._held is not None:
+            self._accept_held(event.now_ms)
+
+    def _accept_held(self, now_ms: float) -> None:
+        tables = self._held
+        if tables is None:
+            return
+        if not self._start_rule.may_accept(tables.revision, now_ms):
+            return
+        self._held = None
+        events = self._node.events
+        events.publish(TablesAccepted(tables, now_ms))
+        events.publish(NewsWanted(RevisionAccepted(tables.revision), now_ms))
+
+    def _refuse(
+        self,
+        event: TablesOffered,
+        findings: tuple[Finding, ...],
+    ) -> None:
+        self.refused_revision = event.revision
+        self.findings = findings
+        self._node.events.publish(
+            TablesRefused(event.revision, findings, event.now_ms),
+        )
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_contacts.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_contacts.py
@@ -39,20 +39,12 @@
         """Return the present neighbours that ever acknowledged."""
         return tuple(one for one in self.present() if one.acked_ms is not None)
 
-    def confirmed_at_ms(self, own: Revision) -> float | None:
-        """Return the latest time that half of the neighbours confirm.
-
-        Neighbours with a newer revision confirm nothing about this one.
-        """
+    def confirmed_at_ms(self) -> float | None:
+        """Return the latest time of sending that half have acknowledged."""
         half = (len(self.present()) + 1) // 2
         sent_ms = sorted(
-            (
-                one.acked_ms
-                for one in self.acked()
-                if one.acked_ms is not None and one.revision <= own
-            ),
-            reverse=True,
+            one.acked_ms for one in self.acked() if one.acked_ms is not None
         )
         if not half or len(sent_ms) < half:
             return None
-        return sent_ms[half - 1]
+        return sent_ms[-half]
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_heartbeats.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_heartbeats.py
@@ -68,7 +68,7 @@
 
     @property
     def alone(self) -> bool:
-        """Whether the VM list was read and shows no other node present."""
+        """Whether the VM list shows this node and no other one present."""
         return self._neighbours.listed and not self.contacts.present()
 
     def _own_revision(self) -> Revision:
@@ -146,12 +146,11 @@
         revision: Revision,
         now_ms: float,
     ) -> None:
-        own = self._own_revision()
-        if revision > own:
+        if revision > self._own_revision():
             self._lease.note_newer(revision, now_ms)
             self._node.events.publish(RevisionBehind(peer, revision, now_ms))
             return
-        confirmed_at_ms = self.contacts.confirmed_at_ms(own)
+        confirmed_at_ms = self.contacts.confirmed_at_ms()
         if confirmed_at_ms is not None:
             self._lease.confirm(confirmed_at_ms)
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_neighbours.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_neighbours.py
@@ -47,12 +47,10 @@
         return (*self.on_ring, *heard)
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        self.listed = True
-        nodes = self._node.fleet.nodes()
-        self.on_ring = neighbours_of(
-            self._node.node_id,
-            (NodeId(vm.vm_id) for vm in nodes),
-        )
+        own = self._node.node_id
+        listed = [NodeId(vm.vm_id) for vm in self._node.fleet.nodes()]
+        self.listed = own in listed
+        self.on_ring = neighbours_of(own, listed)
 
     def _on_message(self, event: PeerMessageReceived) -> None:
         if isinstance(event.message, Heartbeat):
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
@@ -15,6 +15,7 @@
     def __init__(self, node: Node) -> None:
         """Follow the clock."""
         self._node = node
+        self._acceptance = node.part(Extension.SERVICE, 'acceptance')
         self._lease = node.part(Extension.SERVICE, 'config-lease')
         self.state = NodeState.STARTING
         node.events.subscribe(Tick, self._on_tick)
@@ -37,7 +38,7 @@
         if self.state in {NodeState.STOPPING, NodeState.STOPPED}:
             return ('stopping',)
         if tables is None:
-            return ('no tables',)
+            return (f'starting: waits for {self._missing(now_ms)}',)
         found = []
         if not self._lease.holds(now_ms):
             found.append('tables not confirmed lately')
@@ -47,6 +48,9 @@
             found.append(f'availability zone {zone} is out of service')
         return tuple(found)
 
+    def _missing(self, now_ms: float) -> str:
+        return self._acceptance.waits_for(now_ms) or 'the next tick'
+
     def _on_tick(self, event: Tick) -> None:
         if self.state in {NodeState.STOPPING, NodeState.STOPPED}:
             return
