Let neighbours speak before a stale service renews a lost lease

A node cut off from service and peers while revision 2 was accepted came back while the service served revision 1 again; its read of the service renewed the lease and it sent work under the old tables for up to one heartbeat. Change: once the lease has run out, the service alone renews it only after it has confirmed for join_timeout_ms; half of the neighbours renew it at once. Ruled out: not counting the service at all, which would refuse all work in the smaller half of every split.

--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -26,6 +26,8 @@
         self._lease_ms = node.options.lease_ms
         self._newer = Revision(0)
         self._newer_at_ms: float = 0
+        self._probation_since_ms: float | None = None
+        self._last_service_ms: float = 0
         self.confirmed_at_ms: float | None = None
         node.events.subscribe(ServiceConfirmed, self._on_confirmed)
 
@@ -40,6 +42,7 @@
         if self._is_superseded(at_ms):
             return
         known = self.confirmed_at_ms
+        self._probation_since_ms = None
         self.confirmed_at_ms = at_ms if known is None else max(known, at_ms)
 
     def note_newer(self, revision: Revision, now_ms: float) -> None:
@@ -60,8 +63,27 @@
         return now_ms - confirmed_at_ms <= self._lease_ms
 
     def _on_confirmed(self, event: ServiceConfirmed) -> None:
-        if event.revision >= self._own_revision():
-            self.confirm(event.read_started_ms)
+        if event.revision < self._own_revision():
+            return
+        read_ms = event.read_started_ms
+        if self.holds(read_ms) or self._has_passed_probation(read_ms):
+            self.confirm(read_ms)
+
+    def _has_passed_probation(self, read_ms: float) -> bool:
+        """Tell whether the service alone may renew a lease that ran out.
+
+        The service can be stale, and what the other nodes accepted meanwhile
+        shows only in their answers. So they get the time that a starting node
+        gives them, during which the service must go on confirming.
+        """
+        if len(self._node.fleet.nodes()) <= 1:
+            return True
+        gap_ms = read_ms - self._last_service_ms
+        self._last_service_ms = read_ms
+        if self._probation_since_ms is None or gap_ms > self._lease_ms:
+            self._probation_since_ms = read_ms
+        waited_ms = read_ms - self._probation_since_ms
+        return waited_ms >= self._node.options.join_timeout_ms
 
     def _own_revision(self) -> Revision:
         tables = self._node.tables
--- a/tests/decisions/configuration/test_lease.py
+++ b/tests/decisions/configuration/test_lease.py
@@ -112,6 +112,22 @@
         fleet.network.advance_ms(2000 + TICK_MS + 550)
         assert not holds(fleet['n0'])
 
+    def test_stale_service_alone_does_not_renew_a_lease_that_ran_out(self):
+        fleet = running_fleet(8)
+        fleet.network.split(['n0'], fleet.names[1:])
+        fleet.network.advance_ms(4000)
+        offer(fleet['n0'], 5)
+        assert not holds(fleet['n0'])
+
+    def test_service_renews_it_after_neighbours_had_time_to_answer(self):
+        fleet = running_fleet(8)
+        fleet.network.split(['n0'], fleet.names[1:])
+        fleet.network.advance_ms(4000)
+        for _ in range(8):
+            offer(fleet['n0'], 5)
+            fleet.network.advance_ms(500)
+        assert holds(fleet['n0'])
+
     def test_lease_needs_half_of_the_neighbours(self):
         fleet = running_fleet(20)
         ring = part(fleet['n0'], 'neighbours').on_ring
