Score upstreams by expected delay, local availability zone first

Cause: normal scatter of latencies moved work around, a slowed upstream stayed attractive until its first slow answer, and remote upstreams cost 3 ms.

Change: the score is the expected wait for a slot plus what the latency estimate exceeds 2.5 times the route's usual latency; the age of the oldest own attempt counts as latency; a remote candidate costs 3 ms more; the estimate sinks with time; samples are 5 local and 3 remote ones, in random order.

From 16 nodes each one still finds out about a slow upstream by itself.

--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
@@ -7,15 +7,26 @@
 
 # All nodes see the same stale reports. Sampling keeps them from all picking
 # the same idle upstream.
-SAMPLES = 3
+LOCAL_SAMPLES = 5
+REMOTE_SAMPLES = 3
+# Twice the one-way latency between availability zones.
+REMOTE_COST_MS = 3.0
+# Answers vary; only an upstream beyond this multiple of the usual latency
+# counts as slow.
+SLOW_FACTOR = 2.5
 
 
 class Adaptive:
-    """The lowest expected latency among a few random candidates."""
+    """The lowest expected delay among a few random candidates.
+
+    Candidates in the node's own availability zone come first while they bear
+    the load.
+    """
 
     def __init__(self, node: Node) -> None:
         """Keep estimates for this node's upstreams."""
         self._random = node.random
+        self._availability_zone = node.availability_zone
         self._estimates = Estimates(node)
 
     def choose(
@@ -25,14 +36,46 @@
         now_ms: float,
     ) -> Upstream:
         """Return the best of the samples."""
-        if len(candidates) > SAMPLES:
-            candidates = self._random.sample(candidates, SAMPLES)
+        own_zone = self._availability_zone
+        local: list[Upstream] = []
+        remote: list[Upstream] = []
+        for upstream in candidates:
+            is_local = upstream.availability_zone == own_zone
+            (local if is_local else remote).append(upstream)
+        samples = self._sample(local, LOCAL_SAMPLES)
+        samples += self._sample(remote, REMOTE_SAMPLES)
         return min(
-            candidates,
-            key=lambda upstream: self._score(upstream, now_ms),
+            samples,
+            key=lambda sample: self._delay_ms(sample, routed, now_ms),
         )
 
-    def _score(self, upstream: Upstream, now_ms: float) -> float:
+    def _sample(self, group: list[Upstream], size: int) -> list[Upstream]:
+        # Sampling a small group too gives ties no fixed winner.
+        return self._random.sample(group, min(size, len(group)))
+
+    def _delay_ms(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> float:
+        """Return the expected delay beyond the time of the work itself."""
         estimate = self._estimates.of(upstream.upstream_id)
-        load = estimate.load(upstream, now_ms)
-        return estimate.expected_ms(now_ms) * (load + 1)
+        usual_ms = self._estimates.usual_ms(routed.route.name)
+        slowness_ms = estimate.expected_ms(now_ms) - SLOW_FACTOR * usual_ms
+        delay_ms = usual_ms * _queueing(
+            estimate.load(upstream, now_ms),
+            routed.pool.slots,
+        )
+        if upstream.availability_zone != self._availability_zone:
+            delay_ms += REMOTE_COST_MS
+        return delay_ms + max(0, slowness_ms)
+
+
+def _queueing(load: float, slots: int) -> float:
+    """Return the expected wait for a slot, as a share of the usual latency.
+
+    The square stands for the chance that all slots are busy on arrival.
+    """
+    overflow = max(0, load + 1 - slots)
+    return (load / slots) ** 2 + overflow / slots
--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
@@ -10,20 +10,22 @@
     Fleet,
     Node,
     ReportSeen,
+    RouteName,
     Upstream,
     UpstreamId,
     VmListChanged,
 )
 
-# Assumed until the first answer, so that an unknown upstream is neither
-# shunned nor preferred much.
-FIRST_LATENCY_MS = 5.0
 FAILURE_PENALTY_MS = 1000.0
 # A slowdown lasts about 200 ms; a longer memory leaves a recovered upstream
 # unused.
 LATENCY_MEMORY_MS = 100.0
 REPORT_HALF_LIFE_MS = 50.0
 REPORT_EXPIRY_MS = 250.0
+FIRST_USUAL_MS = 10.0
+USUAL_WEIGHT = 0.02
+# One slow answer must not move the usual latency much.
+USUAL_BOUND = 3.0
 
 
 @dataclass(slots=True)
@@ -35,7 +37,7 @@
     flight, the oldest first.
     """
 
-    latency_ms: float = FIRST_LATENCY_MS
+    latency_ms: float = 0
     latency_at_ms: float = 0
     others: float = 0
     others_at_ms: float = float('-inf')
@@ -43,17 +45,17 @@
 
     def observe(self, latency_ms: float, now_ms: float) -> None:
         """Rise at once, sink slowly."""
-        known_ms = self.latency_ms
-        if latency_ms < known_ms:
-            elapsed_ms = max(0, now_ms - self.latency_at_ms)
-            kept = exp(-elapsed_ms / LATENCY_MEMORY_MS)
-            latency_ms += (known_ms - latency_ms) * kept
-        self.latency_ms = latency_ms
+        self.latency_ms = max(latency_ms, self._aged_ms(now_ms))
         self.latency_at_ms = now_ms
 
     def expected_ms(self, now_ms: float) -> float:
-        """Return the latency estimate."""
-        return self.latency_ms
+        """Return the aged estimate, or the age of the oldest own attempt.
+
+        A slowed upstream shows in the attempts that it does not answer
+        before any slow answer arrives.
+        """
+        oldest_ms = next(iter(self.started_ms.values()), now_ms)
+        return max(self._aged_ms(now_ms), now_ms - oldest_ms)
 
     def load(self, upstream: Upstream, now_ms: float) -> float:
         """Return own attempts in flight plus the aged count of others."""
@@ -63,14 +65,22 @@
         fresh: float = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
         return upstream.in_flight + self.others * fresh
 
+    def _aged_ms(self, now_ms: float) -> float:
+        elapsed_ms = max(0, now_ms - self.latency_at_ms)
+        return self.latency_ms * exp(-elapsed_ms / LATENCY_MEMORY_MS)
+
 
 class Estimates:
-    """One estimate per listed upstream, kept up to date by events."""
+    """One estimate per listed upstream, kept up to date by events.
+
+    The usual latency of a route is a slow average over its answers.
+    """
 
     def __init__(self, node: Node) -> None:
         """Follow attempts, reports and the VM list."""
         self._fleet: Fleet = node.fleet
         self._known: dict[UpstreamId, UpstreamEstimate] = {}
+        self._usual_ms: dict[RouteName, float] = {}
         node.events.subscribe(AttemptStarted, self._on_started)
         node.events.subscribe(AttemptEnded, self._on_ended)
         node.events.subscribe(ReportSeen, self._on_report)
@@ -84,6 +94,10 @@
             self._known[upstream_id] = estimate
         return estimate
 
+    def usual_ms(self, route: RouteName) -> float:
+        """Return the usual latency of a route."""
+        return self._usual_ms.get(route, FIRST_USUAL_MS)
+
     def _on_started(self, event: AttemptStarted) -> None:
         estimate = self.of(event.upstream)
         estimate.started_ms[event.attempt_id] = event.now_ms
@@ -95,6 +109,15 @@
             estimate.observe(FAILURE_PENALTY_MS, event.now_ms)
         elif event.state in {AttemptState.ANSWERED, AttemptState.LOST}:
             estimate.observe(event.latency_ms, event.now_ms)
+            self._learn_usual(event.routed.route.name, event.latency_ms)
+
+    def _learn_usual(self, route: RouteName, latency_ms: float) -> None:
+        known_ms = self._usual_ms.get(route)
+        if known_ms is None:
+            self._usual_ms[route] = latency_ms
+            return
+        bounded_ms = min(latency_ms, known_ms * USUAL_BOUND)
+        self._usual_ms[route] += (bounded_ms - known_ms) * USUAL_WEIGHT
 
     def _on_report(self, event: ReportSeen) -> None:
         upstream = self._fleet.find(event.upstream)
--- a/tests/decisions/test_adaptive.py
+++ b/tests/decisions/test_adaptive.py
@@ -106,3 +106,28 @@
         # The failure: all nodes pick the same idle upstream.
         self.give(*(f'w{index}' for index in range(20)))
         assert len(self.choices(200)) > 10
+
+    def test_upstream_that_does_not_answer_is_not_chosen(self):
+        # The failure: a slowed upstream gets work until it answers at last.
+        for name in ('w1', 'w2'):
+            self.answer(name, 10)
+        self.begin('w3')
+        for _ in range(6):
+            self.answer('w1', 10)
+        assert 'w3' not in self.choices()
+
+    def test_failed_upstream_comes_back_after_a_while(self):
+        self.answer('w3', 1, failed=True)
+        self.clock.advance_ms(1000)
+        assert 'w3' in self.choices()
+
+    def test_local_zone_comes_first_while_it_bears_the_load(self):
+        give_vms(
+            self.node,
+            upstream_vm('near', 'z1'),
+            upstream_vm('far', 'z2'),
+        )
+        assert self.choices() == {'near'}
+        for _ in range(5):
+            self.begin('near')
+        assert self.choices() == {'far'}
