Count upstreams without a fresh report as full

Cause: from 16 nodes each one sent a request of its own to every slowed or failing upstream, since an expired report counted as no load.

Change: as a report ages it counts more and more as all slots and one waiting, so that nodes stay with upstreams that answered well lately.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -12,6 +12,7 @@
     AttemptState,
     Call,
     Dispatcher,
+    Extension,
     Finish,
     LoadReport,
     Node,
@@ -59,7 +60,9 @@
     )
     for extension, factories in registry.factories().items():
         for name in factories:
-            node.part(extension, name)
+            # As in the gateway, only the selected chooser is built.
+            if extension is not Extension.CHOOSER or name == chooser:
+                node.part(extension, name)
     dispatcher = Dispatcher(node)
     vms = [
         Vm(f'w{index}', 'work', f'z{index % 4 + 1}', '127.0.0.1', 1)
--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
@@ -14,6 +14,10 @@
 # Answers vary; only an upstream beyond this multiple of the usual latency
 # counts as slow.
 SLOW_FACTOR = 2.5
+# An upstream without a fresh report counts as full and one waiting. Nodes
+# then stay with those that answered well lately, instead of each finding out
+# about a slowed or failing upstream with a request of its own.
+UNKNOWN_QUEUE = 1
 
 
 class Adaptive:
@@ -63,9 +67,10 @@
         estimate = self._estimates.of(upstream.upstream_id)
         usual_ms = self._estimates.usual_ms(routed.route.name)
         slowness_ms = estimate.expected_ms(now_ms) - SLOW_FACTOR * usual_ms
+        slots = routed.pool.slots
         delay_ms = usual_ms * _queueing(
-            estimate.load(upstream, now_ms),
-            routed.pool.slots,
+            estimate.load(upstream, slots + UNKNOWN_QUEUE, now_ms),
+            slots,
         )
         if upstream.availability_zone != self._availability_zone:
             delay_ms += REMOTE_COST_MS
--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
@@ -57,13 +57,22 @@
         oldest_ms = next(iter(self.started_ms.values()), now_ms)
         return max(self._aged_ms(now_ms), now_ms - oldest_ms)
 
-    def load(self, upstream: Upstream, now_ms: float) -> float:
-        """Return own attempts in flight plus the aged count of others."""
+    def load(
+        self,
+        upstream: Upstream,
+        unknown: float,
+        now_ms: float,
+    ) -> float:
+        """Return own attempts in flight plus the aged count of others.
+
+        ``unknown`` is what a report that has expired counts for.
+        """
         age_ms = now_ms - self.others_at_ms
         if age_ms > REPORT_EXPIRY_MS:
-            return upstream.in_flight
+            return upstream.in_flight + unknown
         fresh: float = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
-        return upstream.in_flight + self.others * fresh
+        others = self.others * fresh + unknown * (1 - fresh)
+        return upstream.in_flight + others
 
     def _aged_ms(self, now_ms: float) -> float:
         elapsed_ms = max(0, now_ms - self.latency_at_ms)
--- a/tests/decisions/test_adaptive.py
+++ b/tests/decisions/test_adaptive.py
@@ -131,3 +131,10 @@
         for _ in range(5):
             self.begin('near')
         assert self.choices() == {'far'}
+
+    def test_upstream_without_a_fresh_report_is_the_last_resort(self):
+        # The failure: each node finds out about a slow one by itself.
+        for name in ('w1', 'w2'):
+            report = LoadReport('i', 3)
+            self.node.events.publish(ReportSeen(name, report, 0))
+        assert self.choices() == {'w1', 'w2'}
