Limit connections per upstream to the node's share

Cause: the transport opened a connection for every request that found no idle one, whatever the pools table says.

Change: `max(1, connections // nodes)` per upstream, counting connections that are being opened; a request above it ends as unsent. The pool closes the oldest idle ones when the limit shrinks, all of a VM that left the list, and all of an upstream whose address changed.

Ruled out: waiting for a free connection, since the design has no request queue. Adding up the connections of pools that share a service, since each worker takes its number once.

--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -122,11 +122,18 @@
         rig.clock.advance_ms(1001)
         assert b'figdoor-outcome: not-run' in wire.value()
 
-    def test_refused_connection_is_tried_elsewhere(self, rig):
+    @pytest.mark.parametrize('refused', [True, False])
+    def test_attempt_without_a_connection_is_followed_by_another(
+        self,
+        rig,
+        refused,
+    ):
         rig.upstreams.auto_confirm = False
         _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
-        rig.sendings[0].receiver.unsent(refused=True)
+        rig.sendings[0].receiver.unsent(refused)
         assert len(rig.sendings) == 2
+        rig.sendings[1].receiver.unsent(refused)
+        assert b'figdoor-outcome: not-run' in wire.value()
 
 
 class TestUpload:
--- /dev/null
+++ b/tests/gateway/upstreams/test_transport.py
@@ -0,0 +1,219 @@
+"""Limits of connections per upstream, warm connections and evidence."""
+
+from support import (
+    ManualClock,
+    Recorder,
+    give_tables,
+    give_vms,
+    make_node,
+    node_vm,
+    tables,
+    upstream_vm,
+)
+from twisted.internet.testing import MemoryReactorClock
+from wires import Wire, make_settings
+
+from figdoor_gateway import loop
+from figdoor_gateway.protocols import OutboundRequest
+from figdoor_gateway.upstreams import HttpUpstreamTransport
+from figdoor_kernel import ConnectionsClosed, UpstreamId
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+POOLS = """
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+work, work,    z1 z2,              1,     {},          1,          2
+"""
+
+
+class Receiver:
+    """Keeps how an attempt ended."""
+
+    def __init__(self, allowed=True):
+        self.allowed = allowed
+        self.ends = []
+
+    def may_send(self):
+        return self.allowed
+
+    def unsent(self, refused):
+        self.ends.append('refused' if refused else 'unsent')
+
+    def head(self, head):
+        pass
+
+    def complete(self):
+        self.ends.append('complete')
+
+    def lost(self, connection_died):
+        self.ends.append('lost')
+
+
+class Rig:
+    """A transport on a reactor in memory."""
+
+    def __init__(self, monkeypatch, connections=2, nodes=1):
+        self.reactor = MemoryReactorClock()
+        monkeypatch.setattr(loop, 'reactor', self.reactor)
+        self.node = make_node(clock=ManualClock(self.reactor))
+        self.node.settings = make_settings()
+        self.set_nodes(nodes)
+        give_tables(
+            self.node,
+            tables(pools=POOLS.format(connections)),
+        )
+        self.transport = HttpUpstreamTransport(self.node)
+        self.closings = Recorder(self.node, ConnectionsClosed)
+        self.connections = []
+        self.accepted = 0
+
+    def set_nodes(self, count, upstreams=('w1', 'w2')):
+        rows = [upstream_vm(name) for name in upstreams]
+        rows.extend(node_vm(f'n{number}') for number in range(count))
+        give_vms(self.node, *rows)
+
+    def send(self, name='w1', allowed=True):
+        receiver = Receiver(allowed)
+        request = OutboundRequest(b'GET', b'/', [], b'', True, 0)
+        upstream = self.node.fleet.find(UpstreamId(name))
+        sending = self.transport.send(upstream, request, receiver)
+        return receiver, sending
+
+    def accept(self):
+        """Open all connections that were asked for."""
+        for asked in self.reactor.tcpClients[self.accepted :]:
+            protocol = asked[2].buildProtocol(None)
+            protocol.makeConnection(Wire())
+            inner = protocol._wrappedProtocol
+            self.connections.append(inner)
+        self.accepted = len(self.reactor.tcpClients)
+
+    def answer(self, *numbers):
+        for number in numbers:
+            self.connections[number].dataReceived(ANSWER)
+
+    @property
+    def closed(self):
+        return [one.transport.closed for one in self.connections]
+
+
+class TestConnectionLimit:
+    def test_request_above_the_limit_ends_unsent(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=2)
+        for _ in range(2):
+            assert not rig.send()[0].ends
+        assert rig.send()[0].ends == ['unsent']
+        assert not rig.send('w2')[0].ends
+
+    def test_limit_is_shared_by_the_listed_nodes(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=9, nodes=4)
+        assert rig.transport.limit_of('work') == 2
+        rig.set_nodes(0)
+        assert rig.transport.limit_of('work') == 9
+        rig.set_nodes(100)
+        assert rig.transport.limit_of('work') == 1
+
+    def test_newer_table_changes_the_limit(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=9)
+        assert rig.transport.limit_of('work') == 9
+        give_tables(rig.node, tables(2, pools=POOLS.format(5)))
+        assert rig.transport.limit_of('work') == 5
+
+    def test_oldest_surplus_is_closed_when_the_limit_shrinks(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=3)
+        for _ in range(3):
+            rig.send()
+        rig.accept()
+        rig.answer(0, 1)
+        rig.set_nodes(3)
+        assert rig.closed == [True, True, False]
+        rig.answer(2)
+        assert rig.closed == [True, True, False]
+
+    def test_surplus_in_use_is_closed_when_it_is_free(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=2)
+        for _ in range(2):
+            rig.send()
+        rig.accept()
+        rig.set_nodes(2)
+        assert rig.closed == [False, False]
+        rig.answer(0)
+        assert rig.closed == [True, False]
+
+    def test_closed_connection_makes_room(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=1)
+        rig.send()
+        rig.accept()
+        rig.connections[0].connectionLost()
+        assert not rig.send()[0].ends
+
+
+class TestWarmConnections:
+    def test_connection_is_used_again(self, monkeypatch):
+        rig = Rig(monkeypatch)
+        for _ in range(5):
+            receiver, _ = rig.send()
+            rig.accept()
+            rig.answer(0)
+            assert receiver.ends == ['complete']
+        assert len(rig.connections) == 1
+
+    def test_connection_stays_warm_when_the_send_is_not_confirmed(
+        self,
+        monkeypatch,
+    ):
+        rig = Rig(monkeypatch)
+        receiver, _ = rig.send(allowed=False)
+        rig.accept()
+        assert receiver.ends == ['unsent']
+        assert not rig.connections[0].transport.value()
+        rig.send()
+        assert rig.connections[0].transport.value()
+
+    def test_connection_of_a_cancelled_request_is_kept_unused(
+        self,
+        monkeypatch,
+    ):
+        rig = Rig(monkeypatch)
+        receiver, sending = rig.send()
+        sending.cancel()
+        rig.accept()
+        assert not rig.connections[0].transport.value()
+        assert not receiver.ends
+
+    def test_refused_connection_is_reported(self, monkeypatch):
+        rig = Rig(monkeypatch, connections=1)
+        receiver, _ = rig.send()
+        rig.reactor.tcpClients[0][2].clientConnectionFailed(None, OSError())
+        assert receiver.ends == ['refused']
+        assert not rig.send()[0].ends
+
+    def test_upstream_that_moved_gets_no_old_connection(self, monkeypatch):
+        rig = Rig(monkeypatch)
+        rig.send()
+        rig.accept()
+        rig.answer(0)
+        upstream = rig.node.fleet.find(UpstreamId('w1'))
+        upstream.port = 2
+        rig.send()
+        assert rig.closed == [True]
+        assert rig.reactor.tcpClients[-1][1] == 2
+
+    def test_connections_of_a_vm_that_left_are_closed(self, monkeypatch):
+        rig = Rig(monkeypatch)
+        rig.send()
+        rig.accept()
+        rig.answer(0)
+        rig.set_nodes(1, upstreams=('w2',))
+        assert rig.closed == [True]
+
+
+class TestEvidence:
+    def test_only_the_last_closed_connection_is_announced(self, monkeypatch):
+        rig = Rig(monkeypatch)
+        for _ in range(2):
+            rig.send()
+        rig.accept()
+        rig.connections[0].connectionLost()
+        assert not rig.closings.events
+        rig.connections[1].connectionLost()
+        assert [one.upstream for one in rig.closings.events] == ['w1']
