--- /dev/null
+++ b/tests/fuzz/oracle.py
@@ -0,0 +1,110 @@
+"""What must always hold, as plain checks over the recorded facts."""
+
+from world import COLD_LIMIT, NOT_RUN, PROBES_PER_S
+
+from figdoor_kernel import Outcome
+
+SPREAD_MS = 3000
+WINDOW_MS = 1000
+
+
+def measuring_stays_within_budget(world):
+    """P1: probes of each upstream, over the fleet, in any window."""
+    for name in world.workers:
+        times = [at for probed, at in world.probes if probed == name]
+        for start in times:
+            inside = [at for at in times if start <= at < start + WINDOW_MS]
+            assert len(inside) <= PROBES_PER_S * WINDOW_MS / 1000 + 1, name
+
+
+def cold_upstreams_get_no_more_than_they_bear(world):
+    """P2: work that arrives at a worker that is cold after a start."""
+    for sent in world.sent:
+        if sent.bears == COLD_LIMIT and sent.silent_since_ms is None:
+            assert sent.running <= sent.bears, sent
+
+
+def zones_out_of_service_get_no_new_work(world):
+    """P3: nothing is sent to a zone that has been out for three seconds."""
+    for sent in world.sent:
+        in_service = [
+            sent.zone in zones
+            for at_ms, zones, _ in world.zones_log
+            if at_ms <= sent.now_ms
+        ]
+        since = max(
+            (at_ms for at_ms, _, _ in world.zones_log if at_ms <= sent.now_ms),
+        )
+        if not in_service[-1]:
+            assert sent.now_ms - since <= SPREAD_MS, sent
+
+
+def callers_get_one_outcome(world):
+    """P4: each caller is told one outcome, and answered only if run."""
+    for driven in world.driven:
+        name = driven.node.node_id
+        gone = world.network.nodes.get(name) is not driven.node
+        routed = driven.exchange.routed
+        if gone or routed is None or name in world.network.paused:
+            continue
+        if world.clock.now_ms() > routed.deadline_ms + WINDOW_MS:
+            assert driven.record.outcomes, driven.record
+    for call in world.calls:
+        assert len(call.outcomes) <= 1, call
+        if call.outcomes == [Outcome.ANSWERED]:
+            assert call.executions >= 1, call
+
+
+def not_run_means_not_run(world):
+    """P5: a request that is told not run was run by no worker."""
+    for call in world.calls:
+        if call.outcomes == [NOT_RUN]:
+            assert call.executions == 0, call
+
+
+def non_idempotent_runs_at_most_once(world):
+    """P6: no write is run twice."""
+    for call in world.calls:
+        if call.operation == 'POST':
+            assert call.executions <= 1, call
+
+
+def leaving_upstreams_get_no_new_work(world):
+    """P7: nothing is sent to a worker that has drained for three seconds."""
+    for sent in world.sent:
+        since_ms = sent.draining_since_ms
+        if since_ms is not None:
+            assert sent.now_ms - since_ms <= SPREAD_MS, sent
+
+
+def planned_stops_cut_nothing(world):
+    """P8: no request was in progress when a stopping node ended."""
+    assert not world.cut, world.cut
+
+
+def configuration_is_spread_and_never_reverts(world):
+    """P9: nothing is sent under tables older than three seconds."""
+    for sent in world.sent:
+        known = [
+            revision
+            for at_ms, _, revision in world.accepted
+            if at_ms <= sent.now_ms - SPREAD_MS
+        ]
+        assert sent.revision >= max(known, default=0), sent
+    newest = {}
+    for _, node, revision in world.accepted:
+        assert revision > newest.get(node, 0), (node, revision)
+        newest[node] = revision
+
+
+PROMISES = (
+    measuring_stays_within_budget,
+    cold_upstreams_get_no_more_than_they_bear,
+    zones_out_of_service_get_no_new_work,
+    callers_get_one_outcome,
+    not_run_means_not_run,
+    non_idempotent_runs_at_most_once,
+    leaving_upstreams_get_no_new_work,
+    planned_stops_cut_nothing,
+    configuration_is_spread_and_never_reverts,
+)
--- /dev/null
+++ b/tests/fuzz/test_oracle.py
@@ -0,0 +1,87 @@
+"""The oracle is seen to fail on rules that are broken on purpose."""
+
+import oracle
+import pytest
+from hypothesis import Phase
+from machine import FleetMachine, run_machine
+
+from figdoor_decisions.configuration import Acceptance, LeaseRule
+from figdoor_decisions.eligibility import AvailabilityZoneRule, LeavingRule
+from figdoor_decisions.stopping import StopPlan
+from figdoor_kernel import (
+    AttemptState,
+    Exchange,
+    Outcome,
+    RoutedCall,
+    Verdict,
+    _attempts,
+)
+
+
+def _allow_all(patch, rule):
+    patch.setattr(rule, 'judge', lambda *_: Verdict.ALLOW)
+    patch.setattr(rule, 'confirm', lambda *_: True)
+
+
+def ignore_zones(patch):
+    _allow_all(patch, AvailabilityZoneRule)
+
+
+def ignore_leaving(patch):
+    _allow_all(patch, LeavingRule)
+
+
+def ignore_lease(patch):
+    patch.setattr(LeaseRule, 'admit', lambda *_: None)
+
+
+def accept_older_tables(patch):
+    patch.setattr(Acceptance, 'revision', 0)
+
+
+def call_lost_not_run(patch):
+    forgetful = property(lambda _: False, lambda *_: None)
+    patch.setattr(Exchange, '_may_have_run', forgetful, raising=False)
+    patch.setitem(_attempts._OUTCOMES, AttemptState.LOST, Outcome.NOT_RUN)
+
+
+def call_shed_answered(patch):
+    patch.setitem(_attempts._OUTCOMES, AttemptState.SHED, Outcome.ANSWERED)
+
+
+def call_everything_idempotent(patch):
+    patch.setattr(RoutedCall, 'idempotent', True)
+
+
+def stop_without_waiting(patch):
+    patch.setattr(StopPlan, '_longest_ms', lambda _: 0)
+
+
+BROKEN_RULES = {
+    ignore_zones: oracle.zones_out_of_service_get_no_new_work,
+    ignore_leaving: oracle.leaving_upstreams_get_no_new_work,
+    ignore_lease: oracle.configuration_is_spread_and_never_reverts,
+    accept_older_tables: oracle.configuration_is_spread_and_never_reverts,
+    call_lost_not_run: oracle.not_run_means_not_run,
+    call_shed_answered: oracle.callers_get_one_outcome,
+    call_everything_idempotent: oracle.non_idempotent_runs_at_most_once,
+    stop_without_waiting: oracle.planned_stops_cut_nothing,
+}
+
+
+class TestOracle:
+    """The oracle must notice each rule that is broken on purpose."""
+
+    @pytest.mark.parametrize(
+        ('broken_rule', 'promise'),
+        BROKEN_RULES.items(),
+        ids=lambda part: part.__name__,
+    )
+    def test_notices_broken_rule(self, broken_rule, promise, monkeypatch):
+        broken_rule(monkeypatch)
+
+        class OnePromiseMachine(FleetMachine):
+            promises = (promise,)
+
+        with pytest.raises(AssertionError):
+            run_machine(OnePromiseMachine, (Phase.generate,))
