Add traces: replay of stated cases and bounded recording

Cause: a decision seen in production could not be looked at again, and the nasty cases were only described in tests.

The kernel gains the events CallWaiting and AttemptSent, two fields of AttemptEnded, observers of the event bus and a filter for loading plug-ins.

Conclusion: all traces hold, each of their statements is reported when it is made wrong, and the recording of a running gateway replays.

--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -70,6 +70,11 @@
     return Failure(f'{text!r} is not an http:// address')
 
 
+def read_path(text: str) -> Result[str, str]:
+    """Read the name of a file, which may be empty."""
+    return Success(text)
+
+
 @dataclass(frozen=True, slots=True)
 class NumberReader:
     """Reads numbers within bounds."""
@@ -187,4 +192,16 @@
         NumberReader(1, 1_000_000),
         'connections from callers open at once',
     ),
+    Option(
+        'trace_file',
+        '',
+        read_path,
+        'file to record a trace in for figdoor-ctl replay; empty for none',
+    ),
+    Option(
+        'trace_max_bytes',
+        '10000000',
+        _BYTES,
+        'size at which the recording of a trace ends',
+    ),
 )
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -32,6 +32,8 @@
     max_body_bytes: float
     max_buffered_body_bytes: float
     max_caller_connections: float
+    trace_file: str
+    trace_max_bytes: float
 
 
 ReadSettings = Result[Settings, tuple[Finding, ...]]
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/tracing/__init__.py
@@ -0,0 +1,11 @@
+"""Records what a node is given and decides, for ``figdoor-ctl replay``."""
+
+from figdoor_gateway.tracing._trace_file import TraceFile, TraceFileError
+from figdoor_kernel import Extension, Registry
+
+__all__ = ('TraceFile', 'TraceFileError', 'register')
+
+
+def register(registry: Registry) -> None:
+    """Provide the recording as a service."""
+    registry.provide(Extension.SERVICE, 'trace', TraceFile)
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/tracing/_trace_file.py
@@ -0,0 +1,72 @@
+"""Writes a trace of bounded size to the file that the settings name."""
+
+import os
+from collections.abc import Callable
+from typing import TextIO
+
+from loguru import logger
+
+from figdoor_kernel import FigdoorError, Node, Tick
+from figdoor_traces import Recorder
+
+FLUSH_INTERVAL_MS = 1000
+_OWNER_ONLY = 0o600
+_OPEN_FLAGS = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+
+
+class TraceFileError(FigdoorError):
+    """The trace file cannot be written."""
+
+
+class TraceFile:
+    """Records from the node's start to its stop, or to the size limit.
+
+    Nothing is recorded where ``trace_file`` is empty. An error while writing
+    ends the recording and leaves the node as it is.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Open the file, so that a wrong path is told before the start."""
+        self._file: TextIO | None = None
+        self._flushed_ms: float = 0
+        path = node.settings.trace_file
+        if not path:
+            return
+        try:
+            descriptor = os.open(path, _OPEN_FLAGS, _OWNER_ONLY)
+        except OSError as error:
+            raise TraceFileError(f'--trace_file: {error}') from error
+        self._file = os.fdopen(descriptor, 'w', encoding='ascii')
+        Recorder(node, self._write, node.settings.trace_max_bytes)
+        node.events.subscribe(Tick, self._on_tick)
+
+    def start(self) -> None:
+        """Need no start."""
+
+    def stop(self) -> None:
+        """Close the file; nothing is recorded afterwards."""
+        trace_file = self._file
+        self._file = None
+        if trace_file is not None:
+            _attempt(trace_file.close)
+
+    def _write(self, text: str) -> None:
+        if self._file is not None and not _attempt(self._file.write, text):
+            self._file = None
+
+    def _on_tick(self, event: Tick) -> None:
+        if event.now_ms - self._flushed_ms < FLUSH_INTERVAL_MS:
+            return
+        self._flushed_ms = event.now_ms
+        if self._file is not None and not _attempt(self._file.flush):
+            self._file = None
+
+
+def _attempt(write: Callable[..., object], *texts: str) -> bool:
+    """Return whether it succeeded; log why not."""
+    try:
+        write(*texts)
+    except OSError as error:
+        logger.error('trace file: {!r}, recording ended', error)
+        return False
+    return True
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -18,9 +18,11 @@
 from figdoor_kernel._calls import Call, LoadReport, RoutedCall
 from figdoor_kernel._events import (
     AttemptEnded,
+    AttemptSent,
     AttemptStarted,
     CallClosed,
     CallOpened,
+    CallWaiting,
     ReportSeen,
 )
 from figdoor_kernel._fleet import Upstream
@@ -231,6 +233,14 @@
             return False
         attempt.life.send()
         attempt.sent_ms = now_ms
+        self._events.publish(
+            AttemptSent(
+                attempt.attempt_id,
+                attempt.upstream.upstream_id,
+                routed,
+                now_ms,
+            ),
+        )
         return True
 
     def begin_answer(self) -> None:
@@ -264,6 +274,8 @@
                 seen.failed,
                 seen.connection_died,
                 now_ms,
+                was_answering,
+                seen.final,
             ),
         )
         if was_answering or seen.final or not self._may_retry(seen, now_ms):
@@ -325,15 +337,19 @@
         now_ms: float,
     ) -> Step:
         until_ms = now_ms
+        asked = []
         for source in self._dispatcher.permit_sources:
             if askable:
                 chosen = self._dispatcher.node.random.choice(askable)
+                asked.append(chosen.upstream_id)
                 until_ms = max(
                     until_ms,
                     source.ask(chosen, routed, self._wake, now_ms),
                 )
         until_ms = min(until_ms, routed.deadline_ms)
         if until_ms > now_ms:
+            waiting = CallWaiting(routed, tuple(asked), until_ms, now_ms)
+            self._events.publish(waiting)
             return Wait(until_ms)
         return self._close(Outcome.NOT_RUN, Refusal.NO_UPSTREAM, now_ms)
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -54,12 +54,34 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CallWaiting:
+    """A call waits for permits that were asked for these upstreams."""
+
+    routed: RoutedCall
+    asked: tuple[UpstreamId, ...]
+    until_ms: float
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptSent:
+    """All rules agreed once more, and the first byte is about to leave."""
+
+    attempt_id: int
+    upstream: UpstreamId
+    routed: RoutedCall
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt is over.
 
     ``failed`` says that the upstream answered with an error of its own.
     ``connection_died`` says that its connection closed under the request.
+    ``answer_begun`` says that a part of the answer was passed on, and
+    ``final`` that no other attempt may follow.
     """
 
     attempt_id: int
@@ -70,6 +92,8 @@
     failed: bool
     connection_died: bool
     now_ms: float
+    answer_begun: bool = False
+    final: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,6 +257,14 @@
     def __init__(self) -> None:
         """Start with no subscribers."""
         self._handlers: dict[type[Any], list[Callable[[Any], None]]] = {}
+        self._observers: tuple[Callable[[object], None], ...] = ()
+
+    def observe(self, observer: Callable[[object], None]) -> None:
+        """Call ``observer`` with every event, before its subscribers.
+
+        An observer thus sees an event before those that follow from it.
+        """
+        self._observers = (*self._observers, observer)
 
     def subscribe(
         self,
@@ -244,5 +276,7 @@
 
     def publish(self, event: object) -> None:
         """Call all subscribers before returning."""
+        for observer in self._observers:
+            observer(event)
         for handler in self._handlers.get(type(event), ()):
             handler(event)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
@@ -80,15 +80,18 @@
         return named[name]
 
 
-def load_plugins() -> Registry:
+def load_plugins(module_prefix: str = '') -> Registry:
     """Return a registry in which all installed plug-ins have registered.
 
     Entry points are taken in the order of their names, so that two runs on
-    the same installation build the same node.
+    the same installation build the same node. Only those are loaded whose
+    module starts with ``module_prefix``.
     """
     registry = Registry()
     points = entry_points(group=PLUGIN_GROUP)
     for point in sorted(points, key=lambda found: found.name):
+        if not point.value.startswith(module_prefix):
+            continue
         try:
             register = point.load()
         except ImportError as error:
--- /dev/null
+++ b/packages/figdoor-traces/src/figdoor_traces/__init__.py
@@ -0,0 +1,34 @@
+"""Recording and replaying of what a node was given and what it decided.
+
+docs/traces.md describes the format. Nothing here does any I/O::
+
+    match read_trace('traces/lost.jsonl', text):
+        case Success(trace):
+            verdict = replay(trace)
+"""
+
+from figdoor_traces._codec import decode, encode
+from figdoor_traces._format import (
+    FORMAT_VERSION,
+    Action,
+    Header,
+    Line,
+    Trace,
+    read_trace,
+)
+from figdoor_traces._recording import Recorder
+from figdoor_traces._replaying import Verdict, replay
+
+__all__ = (
+    'FORMAT_VERSION',
+    'Action',
+    'Header',
+    'Line',
+    'Recorder',
+    'Trace',
+    'Verdict',
+    'decode',
+    'encode',
+    'read_trace',
+    'replay',
+)
--- /dev/null
+++ b/packages/figdoor-traces/src/figdoor_traces/_codec.py
@@ -0,0 +1,95 @@
+"""The kernel's values as JSON values, by their type hints.
+
+A value type becomes an object that names its class under ``kind``, an
+``Enum`` member becomes its value, and a tuple becomes a list.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from functools import cache
+from types import NoneType, UnionType
+from typing import Any, NewType, get_args, get_origin, get_type_hints
+
+KIND = 'kind'
+
+
+def encode(decoded: Any) -> Any:
+    """Return a JSON value.
+
+    >>> from figdoor_kernel import Revision, RevisionAccepted
+    >>> encode(RevisionAccepted(Revision(3)))
+    {'kind': 'RevisionAccepted', 'revision': 3}
+    """
+    if is_dataclass(decoded):
+        named = {KIND: type(decoded).__name__}
+        for field in fields(decoded):
+            named[field.name] = encode(getattr(decoded, field.name))
+        return named
+    if isinstance(decoded, Enum):
+        return decoded.value
+    if isinstance(decoded, Mapping):
+        return {str(key): encode(each) for key, each in decoded.items()}
+    if isinstance(decoded, (tuple, list, frozenset)):
+        return [encode(each) for each in decoded]
+    return decoded
+
+
+def decode(hint: Any, encoded: Any) -> Any:
+    """Return the value of type ``hint``.
+
+    Raises ``ValueError`` or ``TypeError`` where ``encoded`` is none.
+    """
+    if isinstance(hint, NewType):
+        return decode(hint.__supertype__, encoded)
+    if isinstance(hint, UnionType):
+        return _decode_union(get_args(hint), encoded)
+    if get_origin(hint) is tuple:
+        return tuple(decode(get_args(hint)[0], each) for each in encoded)
+    if is_dataclass(hint):
+        return _decode_fields(hint, encoded)
+    if issubclass(hint, Enum):
+        return hint(encoded)
+    return _decode_plain(hint, encoded)
+
+
+def _decode_union(hints: Sequence[Any], encoded: Any) -> Any:
+    if encoded is None and NoneType in hints:
+        return None
+    kind = encoded.get(KIND) if isinstance(encoded, Mapping) else None
+    for hint in hints:
+        if hint is not NoneType and kind in {None, _name(hint)}:
+            return decode(hint, encoded)
+    raise ValueError(f'{kind!r} is none of {", ".join(map(_name, hints))}')
+
+
+def _decode_fields(hint: Any, encoded: Mapping[str, Any]) -> Any:
+    hints = _hints(hint)
+    unknown = set(encoded) - set(hints) - {KIND}
+    if unknown:
+        names = ', '.join(sorted(unknown))
+        raise ValueError(f'{_name(hint)} has no field {names}')
+    return hint(
+        **{
+            name: decode(hints[name], encoded[name])
+            for name in hints
+            if name in encoded
+        },
+    )
+
+
+def _decode_plain(hint: type, encoded: Any) -> Any:
+    accepted = (int, float) if hint is float else hint
+    is_wrong_bool = isinstance(encoded, bool) and hint is not bool
+    if is_wrong_bool or not isinstance(encoded, accepted):
+        raise TypeError(f'{encoded!r} is not of type {_name(hint)}')
+    return encoded
+
+
+@cache
+def _hints(hint: Any) -> Mapping[str, Any]:
+    return get_type_hints(hint)
+
+
+def _name(hint: Any) -> str:
+    return str(getattr(hint, '__name__', hint))
--- /dev/null
+++ b/packages/figdoor-traces/src/figdoor_traces/_inputs.py
@@ -0,0 +1,92 @@
+"""The inputs of a trace that do not belong to one call."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from importlib import import_module
+from typing import Any
+
+from figdoor_kernel import (
+    Call,
+    Extension,
+    Node,
+    Revision,
+    TablesOffered,
+    VmList,
+    VmListChanged,
+)
+from figdoor_traces._codec import decode
+from figdoor_traces._format import Line
+from figdoor_traces._statements import Statement
+
+_EVENTS = 'figdoor_kernel._events'
+_ATTRIBUTES = 'attributes'
+_CALL_DEFAULTS: Mapping[str, Any] = {
+    'authority': 'any.example',
+    'path': '/',
+    'fingerprint': 1,
+}
+_VM_DEFAULTS: Mapping[str, Any] = {'host': '127.0.0.1', 'port': 1}
+
+
+class Inputs:
+    """Publishes what the platform, the peers and the clock brought."""
+
+    def __init__(self, node: Node) -> None:
+        """Start with an empty VM list."""
+        self._node = node
+        self._vm_list = VmList()
+
+    def offer_tables(self, line: Line) -> Statement:
+        """Offer a revision of both tables."""
+        self._node.events.publish(
+            TablesOffered(
+                Revision(line.fields['revision']),
+                _join(line.fields['routes']),
+                _join(line.fields['pools']),
+                line.at_ms,
+            ),
+        )
+        return {}
+
+    def read_vms(self, line: Line) -> Statement:
+        """Give the VM list, or the same one again."""
+        if 'vms' in line.fields:
+            rows = [{**_VM_DEFAULTS, **row} for row in line.fields['vms']]
+            self._vm_list = decode(VmList, {'vms': rows})
+        event = VmListChanged(self._vm_list, line.at_ms)
+        self._node.events.publish(event)
+        return {}
+
+    def publish(self, line: Line) -> Statement:
+        """Publish any other event of the kernel by the name of its class."""
+        told = dict(line.fields)
+        name = told.pop('event')
+        event_type: Any = getattr(import_module(_EVENTS), name, None)
+        if getattr(event_type, '__module__', '') != _EVENTS:
+            raise ValueError(f'{name!r} is no event')
+        if 'now_ms' in event_type.__dataclass_fields__:
+            told['now_ms'] = line.at_ms
+        self._node.events.publish(decode(event_type, told))
+        return {}
+
+    def in_force(self, line: Line) -> Statement:
+        """Return what can be stated about the tables."""
+        tables = self._node.tables
+        acceptance = self._node.part(Extension.SERVICE, 'acceptance')
+        return {
+            'revision': tables.revision if tables else 0,
+            'refused_revision': acceptance.refused_revision,
+            'findings': [str(finding) for finding in acceptance.findings],
+        }
+
+
+def read_call(told: Mapping[str, Any]) -> Call:
+    """Return a call; fields that matter to no rule have defaults."""
+    plain = {**_CALL_DEFAULTS, **told}
+    attributes = plain.pop(_ATTRIBUTES, {})
+    call: Call = decode(Call, plain)
+    return replace(call, attributes=attributes)
+
+
+def _join(text: str | list[str]) -> str:
+    return text if isinstance(text, str) else '\n'.join(text)
--- /dev/null
+++ b/packages/figdoor-traces/src/figdoor_traces/_recording.py
@@ -0,0 +1,236 @@
+"""Turns the events of a running node into the lines of a trace.
+
+Bodies, paths, authorities, header values and fingerprints are not recorded.
+A call is recorded with the authority and path prefix of its route, which
+find the same route again; tenants and fingerprints are numbered in the order
+of their appearance.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import fields, is_dataclass, replace
+from typing import Any
+
+from figdoor_kernel import (
+    AttemptEnded,
+    AttemptSent,
+    AttemptStarted,
+    CallClosed,
+    CallOpened,
+    CallWaiting,
+    DeathSeen,
+    Fingerprint,
+    Flooded,
+    NewsReceived,
+    NewsWanted,
+    Node,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    ProbeWanted,
+    RevisionBehind,
+    RoutedCall,
+    TablesAccepted,
+    TablesOffered,
+    TablesRefused,
+    UpstreamStateChanged,
+    VmList,
+    VmListChanged,
+)
+from figdoor_traces._codec import KIND, encode
+from figdoor_traces._format import FORMAT_VERSION, Action
+from figdoor_traces._writing import BoundedWriter
+
+# Events that the decisions publish themselves when the trace is replayed.
+_DERIVED = (
+    NewsReceived,
+    NewsWanted,
+    PeerMessageWanted,
+    ProbeWanted,
+    RevisionBehind,
+    TablesAccepted,
+    TablesRefused,
+    UpstreamStateChanged,
+)
+
+
+class Recorder:
+    """Observes a node from its start and writes one line for each event.
+
+    It stops for good when the trace would grow beyond ``max_bytes``.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        write: Callable[[str], None],
+        max_bytes: float,
+    ) -> None:
+        """Write the header and begin to observe."""
+        self._node = node
+        self._writer = BoundedWriter(write, max_bytes, node.clock)
+        self._vm_list: VmList | None = None
+        self._calls: dict[int, str] = {}
+        self._call_count = 0
+        self._tenants = _Numbers()
+        self._fingerprints = _Numbers()
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {
+            CallOpened: self._on_opened,
+            CallWaiting: self._on_waiting,
+            AttemptStarted: self._on_started,
+            AttemptSent: self._on_sent,
+            AttemptEnded: self._on_ended,
+            CallClosed: self._on_closed,
+            TablesOffered: self._on_tables,
+            VmListChanged: self._on_vm_list,
+            PeerMessageReceived: self._on_peer_message,
+        }
+        self._writer.write(
+            {
+                'trace': FORMAT_VERSION,
+                'node': node.node_id,
+                'availability_zone': node.availability_zone,
+                'recorded': True,
+                'options': encode(node.options),
+            },
+        )
+        node.events.observe(self._on_event)
+
+    def _on_event(self, event: object) -> None:
+        if self._writer.is_stopped:
+            return
+        handler = self._handlers.get(type(event), self._on_other)
+        handler(event)
+
+    def _on_other(self, event: object) -> None:
+        if isinstance(event, _DERIVED) or not is_dataclass(event):
+            return
+        encoded = encode(event)
+        encoded['event'] = encoded.pop(KIND)
+        self._note(Action.EVENT, _time_of(event, self._node), encoded)
+
+    def _on_peer_message(self, event: PeerMessageReceived) -> None:
+        message = event.message
+        if isinstance(message, Flooded):
+            news = message.news
+            if isinstance(news, DeathSeen):
+                number = self._fingerprints.of(news.fingerprint)
+                news = replace(news, fingerprint=Fingerprint(number))
+                message = replace(message, news=news)
+                event = replace(event, message=message)
+        self._on_other(event)
+
+    def _on_tables(self, event: TablesOffered) -> None:
+        self._note(
+            Action.TABLES,
+            event.now_ms,
+            {
+                'revision': event.revision,
+                'routes': event.routes_text.splitlines(),
+                'pools': event.pools_text.splitlines(),
+            },
+        )
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        told = {}
+        if event.vm_list != self._vm_list:
+            self._vm_list = event.vm_list
+            told['vms'] = encode(event.vm_list.vms)
+        self._note(Action.VMS, event.now_ms, told)
+
+    def _on_opened(self, event: CallOpened) -> None:
+        routed = event.routed
+        route = routed.route
+        self._call_count += 1
+        name = f'c{self._call_count}'
+        self._calls[id(routed)] = name
+        attributes = {}
+        if route.tenant_attribute:
+            number = self._tenants.of(routed.tenant)
+            attributes[route.tenant_attribute] = f't{number}'
+        self._note(
+            Action.CALL,
+            event.now_ms,
+            {
+                'call': name,
+                'operation': routed.call.operation,
+                'authority': route.authority,
+                'path': route.path_prefix,
+                'fingerprint': self._fingerprints.of(routed.call.fingerprint),
+                'time_left_ms': routed.deadline_ms - event.now_ms,
+                'replayable': routed.call.replayable,
+                'attributes': attributes,
+            },
+        )
+
+    def _on_waiting(self, event: CallWaiting) -> None:
+        expected = {'step': 'wait', 'asked': list(event.asked)}
+        self._state(Action.NEXT_STEP, event.routed, event.now_ms, expected)
+
+    def _on_started(self, event: AttemptStarted) -> None:
+        expected = {
+            'step': 'send',
+            'upstream': event.upstream,
+            'attempt_number': event.attempt_number,
+        }
+        self._state(Action.NEXT_STEP, event.routed, event.now_ms, expected)
+
+    def _on_sent(self, event: AttemptSent) -> None:
+        expected = {'confirmed': True}
+        self._state(Action.CONFIRM_SEND, event.routed, event.now_ms, expected)
+
+    def _on_ended(self, event: AttemptEnded) -> None:
+        call = self._calls.get(id(event.routed), '')
+        if event.answer_begun:
+            self._note(Action.BEGIN_ANSWER, event.now_ms, {'call': call})
+        told = {
+            'call': call,
+            'state': event.state.value,
+            'failed': event.failed,
+            'connection_died': event.connection_died,
+            'final': event.final,
+        }
+        self._note(Action.END, event.now_ms, told)
+
+    def _on_closed(self, event: CallClosed) -> None:
+        if event.routed is None:
+            return
+        expected = {
+            'outcome': event.outcome.value,
+            'refusal': event.refusal.value if event.refusal else None,
+        }
+        self._state(Action.CLOSED, event.routed, event.now_ms, expected)
+        self._calls.pop(id(event.routed), None)
+
+    def _state(
+        self,
+        action: Action,
+        routed: RoutedCall,
+        now_ms: float,
+        expected: Mapping[str, Any],
+    ) -> None:
+        call = self._calls.get(id(routed), '')
+        self._note(action, now_ms, {'call': call, 'expect': expected})
+
+    def _note(
+        self,
+        action: Action,
+        at_ms: float,
+        told: Mapping[str, Any],
+    ) -> None:
+        self._writer.write({'at_ms': at_ms, 'do': action.value, **told})
+
+
+class _Numbers:
+    """Numbers values in the order of their appearance."""
+
+    def __init__(self) -> None:
+        self._known: dict[object, int] = {}
+
+    def of(self, named: object) -> int:
+        return self._known.setdefault(named, len(self._known) + 1)
+
+
+def _time_of(event: Any, node: Node) -> float:
+    """Return the event's time; an event without one happens now."""
+    if any(field.name == 'now_ms' for field in fields(event)):
+        return float(event.now_ms)
+    return node.clock.now_ms()
--- /dev/null
+++ b/packages/figdoor-traces/src/figdoor_traces/_replaying.py
@@ -0,0 +1,146 @@
+"""Gives the inputs of a trace to the real decisions, on a virtual clock."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from automat import NoTransition
+
+from figdoor_kernel import (
+    AttemptResult,
+    Dispatcher,
+    Exchange,
+    Finding,
+    Place,
+    Refusal,
+)
+from figdoor_traces._codec import decode
+from figdoor_traces._format import Action, Line, Trace
+from figdoor_traces._guidance import Guide, GuidedChooser
+from figdoor_traces._inputs import Inputs, read_call
+from figdoor_traces._nodes import VirtualClock, build_node, start_services
+from figdoor_traces._statements import Statement, compare, describe_step
+
+_CALL = 'call'
+
+
+@dataclass(slots=True)
+class Verdict:
+    """What a replay found.
+
+    ``mismatches`` are statements that do not hold; ``errors`` are lines that
+    could not be replayed, after which the replay stops.
+    """
+
+    checked: int = 0
+    mismatches: list[Finding] = field(default_factory=list)
+    errors: list[Finding] = field(default_factory=list)
+
+
+def replay(trace: Trace) -> Verdict:
+    """Return which statements of the trace hold."""
+    verdict = Verdict()
+    replaying = _Replaying(trace)
+    for line in trace.lines:
+        try:
+            found = replaying.follow(line)
+        except NoTransition as error:
+            message = f'cannot happen to this attempt: {error}'
+            place = Place(trace.source, line.number)
+            verdict.mismatches.append(Finding(place, message))
+            break
+        except (KeyError, TypeError, ValueError) as error:
+            place = Place(trace.source, line.number)
+            verdict.errors.append(Finding(place, repr(error)))
+            break
+        verdict.checked += len(line.expected)
+        verdict.mismatches.extend(compare(trace.source, line, found))
+    return verdict
+
+
+class _Replaying:
+    """One node and the calls that are open there."""
+
+    def __init__(self, trace: Trace) -> None:
+        header = trace.header
+        self._clock = VirtualClock()
+        self._guide = Guide()
+        self._calls: dict[str, Exchange] = {}
+        node = build_node(header, self._clock, self._guide)
+        self._dispatcher = Dispatcher(node)
+        if header.recorded:
+            self._dispatcher.chooser = GuidedChooser(
+                self._dispatcher.chooser,
+                self._guide,
+            )
+        start_services(node)
+        inputs = Inputs(node)
+        self._actions: Mapping[Action, Callable[[Line], Statement]] = {
+            Action.TABLES: inputs.offer_tables,
+            Action.VMS: inputs.read_vms,
+            Action.EVENT: inputs.publish,
+            Action.CALL: self._open,
+            Action.NEXT_STEP: self._next_step,
+            Action.CONFIRM_SEND: self._confirm_send,
+            Action.BEGIN_ANSWER: self._begin_answer,
+            Action.END: self._end,
+            Action.ABANDON: self._abandon,
+            Action.CLOSED: self._close,
+            Action.IN_FORCE: inputs.in_force,
+            Action.STOPPED: lambda _: {},
+        }
+
+    def follow(self, line: Line) -> Statement:
+        """Do what the line says; return what can be stated about it."""
+        self._clock.at_ms = line.at_ms
+        self._guide.follow(line.expected)
+        return self._actions[line.action](line)
+
+    def _open(self, line: Line) -> Statement:
+        told = dict(line.fields)
+        name = told.pop(_CALL)
+        call = read_call(told)
+        exchange = self._dispatcher.open(call, line.at_ms, _do_nothing)
+        self._calls[name] = exchange
+        routed = exchange.routed
+        return {'route': routed.route.name if routed else None}
+
+    def _next_step(self, line: Line) -> Statement:
+        exchange = self._exchange(line)
+        return describe_step(exchange.next_step(line.at_ms), self._guide)
+
+    def _confirm_send(self, line: Line) -> Statement:
+        return {'confirmed': self._exchange(line).confirm_send(line.at_ms)}
+
+    def _begin_answer(self, line: Line) -> Statement:
+        self._exchange(line).begin_answer()
+        return {}
+
+    def _end(self, line: Line) -> Statement:
+        told = dict(line.fields)
+        exchange = self._calls[told.pop(_CALL)]
+        exchange.end(decode(AttemptResult, told), line.at_ms)
+        return {}
+
+    def _abandon(self, line: Line) -> Statement:
+        self._exchange(line).abandon(line.at_ms)
+        return {}
+
+    def _close(self, line: Line) -> Statement:
+        """Return the outcome of a call, asking for it where it is open.
+
+        The events do not tell a caller that went away while its call waited
+        from a deadline that passed; both abandon the call.
+        """
+        exchange = self._exchange(line)
+        if line.expected.get('refusal') == Refusal.DEADLINE.value:
+            exchange.abandon(line.at_ms)
+        step = exchange.next_step(line.at_ms)
+        self._calls.pop(line.fields[_CALL])
+        return describe_step(step, self._guide)
+
+    def _exchange(self, line: Line) -> Exchange:
+        return self._calls[line.fields[_CALL]]
+
+
+def _do_nothing() -> None:
+    """Ignore that a waiting call can go on; the trace says when it does."""
--- /dev/null
+++ b/tests/traces/test_recording.py
@@ -0,0 +1,129 @@
+"""Recordings: they replay, are bounded, and hold nothing of the callers."""
+
+import json
+
+import pytest
+from support import (
+    POOLS,
+    ROUTES,
+    confirm,
+    give_vms,
+    make_call,
+    make_node,
+    upstream_vm,
+)
+
+from figdoor_kernel import (
+    AttemptResult,
+    AttemptState,
+    Dispatcher,
+    Revision,
+    Send,
+    TablesOffered,
+)
+from figdoor_standins.processes import Deployment, http
+from figdoor_traces import Recorder, read_trace, replay
+
+SECRET = 'hunter2'
+
+
+class TestRecorder:
+    def record(self, max_bytes=1_000_000, calls=20):
+        node = make_node(vm_list_lag_ms=0)
+        written = []
+        Recorder(node, written.append, max_bytes)
+        give_vms(
+            node,
+            upstream_vm('n1', service='figdoor'),
+            *(upstream_vm(f'w{number}') for number in range(4)),
+        )
+        offer = TablesOffered(Revision(1), ROUTES, POOLS, 0)
+        node.events.publish(offer)
+        confirm(node)
+        dispatcher = Dispatcher(node)
+        for number in range(calls):
+            self.carry(dispatcher, number)
+            node.clock.advance_ms(10)
+        return ''.join(written)
+
+    def carry(self, dispatcher, number):
+        """Carry one call; every third attempt is lost."""
+        now_ms = dispatcher.node.clock.now_ms()
+        call = make_call(
+            path=f'/{SECRET}',
+            tenant=SECRET,
+            fingerprint=number + 123_456_789,
+        )
+        exchange = dispatcher.open(call, now_ms, lambda: None)
+        while isinstance(exchange.next_step(now_ms), Send):
+            exchange.confirm_send(now_ms)
+            state = AttemptState.LOST
+            if (number + exchange.attempts_made) % 3:
+                exchange.begin_answer()
+                state = AttemptState.ANSWERED
+            exchange.end(AttemptResult(state), now_ms)
+
+    def test_recording_replays_although_the_choices_were_random(self):
+        trace = read_trace('t', self.record()).unwrap()
+        verdict = replay(trace)
+        assert not verdict.errors
+        assert not verdict.mismatches
+        assert verdict.checked > 100
+
+    def test_changed_outcome_in_a_recording_is_reported(self):
+        text = self.record().replace('"answered","ref', '"not-run","ref', 1)
+        assert replay(read_trace('t', text).unwrap()).mismatches
+
+    def test_attempt_at_an_upstream_that_no_rule_allows_is_reported(self):
+        lines = self.record(calls=1).splitlines()
+        for index, line in enumerate(lines):
+            told = json.loads(line)
+            if told.get('expect', {}).get('step') == 'send':
+                told['expect']['upstream'] = 'w9'
+                lines[index] = json.dumps(told)
+        text = '\n'.join([*lines, ''])
+        found = replay(read_trace('t', text).unwrap()).mismatches
+        assert any('w9' in str(one) for one in found)
+
+    def test_recording_holds_no_path_tenant_or_fingerprint_of_a_caller(self):
+        text = self.record()
+        assert SECRET not in text
+        assert '1234567' not in text
+
+    @pytest.mark.parametrize('max_bytes', [1000, 5000])
+    def test_recording_stops_within_its_limit_and_still_replays(
+        self,
+        max_bytes,
+    ):
+        text = self.record(max_bytes)
+        assert len(text) <= max_bytes
+        assert text.endswith('"do":"stopped"}\n')
+        assert not replay(read_trace('t', text).unwrap()).mismatches
+
+
+@pytest.mark.processes
+class TestTraceFile:
+    def test_gateway_records_a_trace_that_replays(self, tmp_path):
+        path = tmp_path / 'entry.jsonl'
+        with Deployment() as deployment:
+            deployment.platform.publish(ROUTES, POOLS)
+            for number in range(3):
+                deployment.add_upstream(f'w{number}', 'work', 'z1')
+            gateway = deployment.add_gateway('n1', 'z1', trace_file=path)
+            deployment.wait_ready()
+            headers = {'X-Tenant': SECRET, 'Authorization': SECRET}
+            for number in range(50):
+                http(gateway.port, f'/{SECRET}/{number}', headers=headers)
+            assert gateway.stop() == 0
+        text = path.read_text(encoding='ascii')
+        verdict = replay(read_trace('t', text).unwrap())
+        assert SECRET not in text
+        assert not verdict.errors
+        assert not verdict.mismatches
+        assert verdict.checked >= 50 * 6
+
+    def test_path_that_cannot_be_written_ends_the_start(self, tmp_path):
+        with Deployment() as deployment:
+            path = tmp_path / 'no' / 'file'
+            gateway = deployment.add_gateway('n1', 'z1', trace_file=path)
+            assert gateway.child.wait(20) == 2
--- /dev/null
+++ b/tests/traces/test_replay.py
@@ -0,0 +1,110 @@
+"""Replay of traces: the stated cases, wrong statements, malformed lines."""
+
+import json
+from io import StringIO
+from pathlib import Path
+
+import pytest
+
+from figdoor_ctl.cli import main
+from figdoor_traces import read_trace, replay
+
+TRACES = sorted((Path(__file__).parents[2] / 'traces').glob('*.jsonl'))
+
+
+def lines_of(name):
+    path = TRACES[0].parent / f'{name}.jsonl'
+    return [
+        json.loads(line)
+        for line in path.read_text(encoding='utf-8').splitlines()
+    ]
+
+
+def text_of(lines):
+    return ''.join(f'{json.dumps(line)}\n' for line in lines)
+
+
+def replay_lines(lines):
+    return replay(read_trace('t', text_of(lines)).unwrap())
+
+
+def statements(path):
+    """Return the place of each stated outcome of a trace."""
+    for index, line in enumerate(lines_of(path.stem)):
+        for name in line.get('expect', ()):
+            yield path.stem, index, name
+
+
+class TestReplay:
+    @pytest.mark.parametrize('path', TRACES, ids=lambda path: path.stem)
+    def test_every_statement_of_a_trace_holds(self, path):
+        text = path.read_text(encoding='utf-8')
+        verdict = replay(read_trace(path.name, text).unwrap())
+        assert not verdict.errors
+        assert not verdict.mismatches
+        assert verdict.checked
+
+    @pytest.mark.parametrize(
+        ('name', 'index', 'key'),
+        [case for path in TRACES for case in statements(path)],
+    )
+    def test_wrong_statement_is_reported_with_its_line(self, name, index, key):
+        lines = lines_of(name)
+        lines[index]['expect'][key] = 'wrong'
+        places = [str(one.place) for one in replay_lines(lines).mismatches]
+        assert places == [f't:{index + 1}:{key}']
+
+    def test_impossible_course_of_an_attempt_is_reported(self):
+        lines = lines_of('lost-non-idempotent')
+        ends = [line for line in lines if line.get('do') == 'end']
+        ends[0]['state'] = 'unsent-failure'
+        assert 'cannot happen' in str(replay_lines(lines).mismatches[0])
+
+    def test_same_seed_chooses_the_same_upstreams_again(self):
+        lines = lines_of('retry-budget-spent')
+        for line in lines:
+            if line.get('do') == 'next_step':
+                line['expect'] = {'upstream': None}
+        seen = {str(replay_lines(lines).mismatches) for _ in range(3)}
+        assert len(seen) == 1
+
+
+class TestReadTrace:
+    def test_all_malformed_lines_are_reported_together(self):
+        lines = lines_of('lost-non-idempotent')
+        lines[2]['do'] = 'dance'
+        lines[3].pop('at_ms')
+        lines[5]['at_ms'] = -1
+        found = read_trace('t', text_of(lines)).failure()
+        places = {str(one.place) for one in found}
+        assert places >= {'t:3', 't:4', 't:6:at_ms'}
+
+    def test_unknown_format_version_is_refused(self):
+        lines = lines_of('lost-non-idempotent')
+        lines[0]['trace'] = 2
+        assert 'format 2' in str(read_trace('t', text_of(lines)).failure()[0])
+
+    def test_line_cut_by_a_kill_is_left_out(self):
+        text = text_of(lines_of('lost-non-idempotent'))
+        trace = read_trace('t', text[:-5]).unwrap()
+        assert len(trace.lines) == len(text.splitlines()) - 2
+
+
+class TestReplayCommand:
+    def run(self, *lines, path):
+        path.write_text(text_of(lines), encoding='utf-8')
+        out = StringIO()
+        return main(['replay', str(path)], out), out.getvalue()
+
+    def test_exit_codes_tell_holding_from_wrong_and_unreadable(self, tmp_path):
+        path = tmp_path / 't.jsonl'
+        lines = lines_of('lost-non-idempotent')
+        code, text = self.run(*lines, path=path)
+        assert code == 0
+        assert '6 statements hold' in text
+        lines[-1]['expect']['outcome'] = 'not-run'
+        code, text = self.run(*lines, path=path)
+        assert code == 1
+        assert f"{path}:9:outcome: stated 'not-run', found 'unknown'" in text
+        assert self.run({'trace': 1}, path=path)[0] == 2
+        assert main(['replay', str(tmp_path)], StringIO()) == 2
