Make operator pages readable, bound metrics, keep tracebacks in logs

Cause: the page listed raw facts without saying since when they hold, kept showing findings of a refused revision after a newer one was accepted, and gave no counts. Metrics kept series of removed routes and upstreams for ever and lacked what alarms need. JSON logs dropped tracebacks, and errors caught by Twisted were printed as plain text between JSON lines.

Change: InForce notes when state and tables changed; the page says the same facts as /in-force in words. New gauges: figdoor_ready, figdoor_tables_refused_revision, figdoor_tables_confirmed_age_seconds, figdoor_upstreams, figdoor_nodes. Series of routes and upstreams that left are dropped. JSON log lines carry the exception.

--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -10,7 +10,7 @@
 
 from figdoor_gateway.application import build_node
 from figdoor_gateway.lifecycle import Lifecycle
-from figdoor_gateway.logs import configure_logs
+from figdoor_gateway.logs import capture_twisted_errors, configure_logs
 from figdoor_gateway.loop import reactor
 from figdoor_gateway.settings import (
     Settings,
@@ -47,6 +47,7 @@
 def run_node(settings: Settings) -> None:
     """Run a node until it is told to stop."""
     configure_logs(settings.log_format, settings.log_level)
+    capture_twisted_errors()
     node = build_node(settings, load_plugins())
     lifecycle: Lifecycle = node.part(Extension.SERVICE, 'lifecycle')
     on_signal = partial(_stop, lifecycle)
--- a/packages/figdoor-gateway/src/figdoor_gateway/logs.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/logs.py
@@ -2,12 +2,20 @@
 
 import json
 import sys
+import traceback
+from collections.abc import Mapping
 from typing import Any
 
 from loguru import logger
+from twisted.logger import (
+    LogLevel,
+    formatEvent,
+    globalLogBeginner,
+)
 
 LOG_FORMATS = ('text', 'json')
 _TEXT_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {name}: {message}'
+_FAILURES = frozenset((LogLevel.error, LogLevel.critical))
 
 
 def configure_logs(log_format: str, log_level: str) -> None:
@@ -19,13 +27,39 @@
         logger.add(sys.stderr, level=log_level, format=_TEXT_FORMAT)
 
 
+def capture_twisted_errors() -> None:
+    """Log errors that Twisted caught, in the same form as all others.
+
+    Without it they would be printed as plain text between JSON lines. Call
+    it once in a process.
+    """
+    globalLogBeginner.beginLoggingTo(
+        [log_twisted_event],
+        redirectStandardIO=False,
+    )
+
+
+def log_twisted_event(event: Mapping[str, Any]) -> None:
+    """Log one event of Twisted's own log, if it reports an error."""
+    if event.get('log_level') not in _FAILURES:
+        return
+    failure = event.get('log_failure')
+    error = failure.value if failure else None
+    text = formatEvent(dict(event))
+    logger.opt(exception=error).error('{}', text)
+
+
 def _write_json(message: Any) -> None:
     record = message.record
     line = {
+        **record['extra'],
         'time': record['time'].isoformat(),
         'level': record['level'].name,
         'logger': record['name'],
         'message': record['message'],
     }
-    line.update(record['extra'])
+    if record['exception'] is not None:
+        line['exception'] = ''.join(
+            traceback.format_exception(record['exception'].value),
+        )
     sys.stderr.write(f'{json.dumps(line, default=str)}\n')
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
@@ -0,0 +1,77 @@
+"""Gauges that are read from the node whenever they are asked for."""
+
+from collections import Counter
+from typing import Any
+
+from prometheus_client import CollectorRegistry, Gauge
+
+from figdoor_kernel import Extension, Node, NodeState
+
+MS_PER_SECOND = 1000
+
+
+class NodeGauges:
+    """What is in force on this node, as numbers."""
+
+    def __init__(self, node: Node, collectors: CollectorRegistry) -> None:
+        """Create the gauges."""
+        self._node = node
+        self._revision = Gauge(
+            'figdoor_tables_revision',
+            'Revision of the tables in force',
+            registry=collectors,
+        )
+        self._refused = Gauge(
+            'figdoor_tables_refused_revision',
+            'Newer revision that was refused, 0 where there is none',
+            registry=collectors,
+        )
+        self._confirmed_age = Gauge(
+            'figdoor_tables_confirmed_age_seconds',
+            'Time since the tables were last confirmed, -1 before the first',
+            registry=collectors,
+        )
+        self._ready = Gauge(
+            'figdoor_ready',
+            'Whether the node wants callers',
+            registry=collectors,
+        )
+        self._upstreams = Gauge(
+            'figdoor_upstreams',
+            'Listed upstreams, by service and state in the VM list',
+            ('service', 'vm_state'),
+            registry=collectors,
+        )
+        self._nodes = Gauge(
+            'figdoor_nodes',
+            'Listed nodes',
+            registry=collectors,
+        )
+
+    def read(self) -> None:
+        """Set all gauges to what holds now."""
+        node = self._node
+        revision = node.tables.revision if node.tables else 0
+        refused = self._service('acceptance').refused_revision
+        self._revision.set(revision)
+        self._refused.set(refused if refused > revision else 0)
+        self._confirmed_age.set(self._confirmed_age_s())
+        self._ready.set(self._service('readiness').state is NodeState.READY)
+        self._nodes.set(len(node.fleet.nodes()))
+        self._upstreams.clear()
+        counts = Counter(
+            (upstream.service, upstream.vm_state.value)
+            for upstream in node.fleet.upstreams()
+        )
+        for labels, count in counts.items():
+            self._upstreams.labels(*labels).set(count)
+
+    def _confirmed_age_s(self) -> float:
+        confirmed_at_ms = self._service('config-lease').confirmed_at_ms
+        if confirmed_at_ms is None:
+            return -1
+        age_ms: float = self._node.clock.now_ms() - confirmed_at_ms
+        return age_ms / MS_PER_SECOND
+
+    def _service(self, name: str) -> Any:
+        return self._node.part(Extension.SERVICE, name)
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -5,17 +5,19 @@
 from prometheus_client import (
     CollectorRegistry,
     Counter,
-    Gauge,
     Histogram,
     generate_latest,
 )
 
+from figdoor_gateway.metrics._gauges import NodeGauges
 from figdoor_kernel import (
     AttemptEnded,
     CallClosed,
     Node,
     ProbeWanted,
+    TablesAccepted,
     Tick,
+    VmListChanged,
 )
 
 MS_PER_SECOND = 1000
@@ -48,17 +50,20 @@
 
     def __init__(self, node: Node) -> None:
         """Create all metrics in a registry of their own."""
-        self._node = node
         self._collectors = CollectorRegistry()
         self._tenants: set[str] = set()
         self._children: dict[tuple[str, ...], tuple[Any, Any]] = {}
+        self._probed: set[str] = set()
         self._last_tick_ms: float | None = None
         self._make_call_metrics()
         self._make_node_metrics()
+        self._gauges = NodeGauges(node, self._collectors)
         node.events.subscribe(CallClosed, self._on_closed)
         node.events.subscribe(AttemptEnded, self._on_attempt)
         node.events.subscribe(ProbeWanted, self._on_probe)
         node.events.subscribe(Tick, self._on_tick)
+        node.events.subscribe(TablesAccepted, self._on_tables)
+        node.events.subscribe(VmListChanged, self._on_vm_list)
 
     def start(self) -> None:
         """Need no start."""
@@ -68,8 +73,7 @@
 
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
-        tables = self._node.tables
-        self._revision.set(tables.revision if tables else 0)
+        self._gauges.read()
         return generate_latest(self._collectors)
 
     def _make_call_metrics(self) -> None:
@@ -105,11 +109,6 @@
             'Times at which the process did not run for half a second',
             registry=self._collectors,
         )
-        self._revision = Gauge(
-            'figdoor_tables_revision',
-            'Revision of the tables in force',
-            registry=self._collectors,
-        )
 
     def _on_closed(self, event: CallClosed) -> None:
         route = event.routed.route.name if event.routed else ''
@@ -142,8 +141,26 @@
         self._attempts.labels(event.state.value).inc()
 
     def _on_probe(self, event: ProbeWanted) -> None:
+        self._probed.add(event.upstream)
         self._probes.labels(event.upstream).inc()
 
+    def _on_tables(self, event: TablesAccepted) -> None:
+        """Drop the series of routes that are no longer in force."""
+        routes = {'', *(route.name for route in event.tables.routes)}
+        gone = [key for key in self._children if key[0] not in routes]
+        for route, tenant, outcome, reason in gone:
+            self._children.pop((route, tenant, outcome, reason))
+            self._calls.remove(route, tenant, outcome, reason)
+        for pair in frozenset(key[:2] for key in gone):
+            self._latency.remove(*pair)
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        """Drop the series of upstreams that left the list."""
+        gone = self._probed - {vm.vm_id for vm in event.vm_list.vms}
+        for upstream in gone:
+            self._probes.remove(upstream)
+        self._probed -= gone
+
     def _on_tick(self, event: Tick) -> None:
         last_ms = self._last_tick_ms
         self._last_tick_ms = event.now_ms
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_in_force.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_in_force.py
@@ -1,109 +1,90 @@
-"""What is in force on this node, and why."""
+"""What is in force on this node, since when, and why it is not ready."""
 
-from collections.abc import Iterable, Mapping, Sequence
-from html import escape
+from datetime import UTC, datetime
 from typing import Any
 
-from figdoor_kernel import Extension, Node
-
-
-def describe(node: Node) -> dict[str, Any]:
-    """Return state, tables and upstreams as JSON values."""
-    now_ms = node.clock.now_ms()
-    readiness = node.part(Extension.SERVICE, 'readiness')
-    acceptance = node.part(Extension.SERVICE, 'acceptance')
-    return {
-        'node': node.node_id,
-        'availability_zone': node.availability_zone,
-        'state': readiness.state.value,
-        'not_ready_because': list(readiness.reasons(now_ms)),
-        'revision': acceptance.revision,
-        'refused_revision': acceptance.refused_revision,
-        'findings': [str(finding) for finding in acceptance.findings],
-        'routes': _routes(node),
-        'pools': _pools(node),
-        'upstreams': _upstreams(node),
-    }
-
-
-def render_page(described: Mapping[str, Any]) -> str:
-    """Return a page with the same facts as tables."""
-    title = f'figdoor {escape(described["node"])}'
-    facts = [
-        {'fact': name, 'value': fact}
-        for name, fact in described.items()
-        if name not in {'routes', 'pools', 'upstreams'}
-    ]
-    sections = [
-        _section(title, facts),
-        *(
-            _section(name, described[name])
-            for name in ('routes', 'pools', 'upstreams')
-        ),
-    ]
-    body = ''.join(sections)
-    return f'<!doctype html><title>{title}</title><body>{body}</body>'
-
-
-def _routes(node: Node) -> list[dict[str, Any]]:
-    routes = node.tables.routes if node.tables else ()
-    return [
-        {
-            'route': route.name,
-            'authority': route.authority,
-            'path_prefix': route.path_prefix,
-            'operations': _join(route.operations) or '*',
-            'pool': route.pool,
-            'idempotent': _join(route.idempotent),
-            'tenant': route.tenant or f'header:{route.tenant_attribute}',
-            'deadline_ms': route.deadline_ms,
-            'retry_percent': route.retry_percent,
+from figdoor_gateway.operator import _rows
+from figdoor_kernel import (
+    Extension,
+    Node,
+    NodeStateChanged,
+    TablesAccepted,
+    TablesRefused,
+    UpstreamId,
+    UpstreamState,
+    UpstreamStateChanged,
+)
+
+
+class InForce:
+    """Notes when things changed and describes them on demand.
+
+    Times are those of the VM's wall clock, which nothing is decided by.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow tables and states."""
+        self._node = node
+        self._started_at = _wall_clock()
+        self._state_since = self._started_at
+        self._accepted_at = ''
+        self._refused_at = ''
+        self._states: dict[UpstreamId, UpstreamState] = {}
+        node.events.subscribe(NodeStateChanged, self._on_state)
+        node.events.subscribe(TablesAccepted, self._on_accepted)
+        node.events.subscribe(TablesRefused, self._on_refused)
+        node.events.subscribe(UpstreamStateChanged, self._on_upstream)
+
+    def describe(self) -> dict[str, Any]:
+        """Return state, tables and upstreams as JSON values."""
+        node = self._node
+        readiness = node.part(Extension.SERVICE, 'readiness')
+        acceptance = node.part(Extension.SERVICE, 'acceptance')
+        return {
+            'node': node.node_id,
+            'availability_zone': node.availability_zone,
+            'started_at': self._started_at,
+            'state': readiness.state.value,
+            'state_since': self._state_since,
+            'not_ready_because': list(
+                readiness.reasons(node.clock.now_ms()),
+            ),
+            'revision': acceptance.revision,
+            'accepted_at': self._accepted_at,
+            **self._refused(acceptance),
+            'nodes': len(node.fleet.nodes()),
+            'availability_zones': _rows.availability_zones(node),
+            'routes': _rows.routes(node),
+            'pools': _rows.pools(node),
+            'upstreams': _rows.upstreams(node, self._states),
         }
-        for route in routes
-    ]
-
 
-def _pools(node: Node) -> list[dict[str, Any]]:
-    pools = node.tables.pools.values() if node.tables else ()
-    return [
-        {
-            'pool': pool.name,
-            'service': pool.service,
-            'availability_zones': _join(pool.availability_zones),
-            'slots': pool.slots,
-            'connections': pool.connections,
-            'cold_limit': pool.cold_limit,
-            'probes_per_s': pool.probes_per_s,
-        }
-        for pool in pools
-    ]
+    def _refused(self, acceptance: Any) -> dict[str, Any]:
+        """Return the last refusal, unless a newer revision is in force."""
+        if acceptance.refused_revision > acceptance.revision:
+            findings = [str(finding) for finding in acceptance.findings]
+            return {
+                'refused_revision': acceptance.refused_revision,
+                'refused_at': self._refused_at,
+                'findings': findings,
+            }
+        return {'refused_revision': 0, 'refused_at': '', 'findings': []}
 
+    def _on_state(self, event: NodeStateChanged) -> None:
+        self._state_since = _wall_clock()
 
-def _upstreams(node: Node) -> list[dict[str, Any]]:
-    return [
-        {
-            'upstream': upstream.upstream_id,
-            'service': upstream.service,
-            'availability_zone': upstream.availability_zone,
-            'vm_state': upstream.vm_state.value,
-            'in_flight': upstream.in_flight,
-            'instance': upstream.report.instance if upstream.report else '',
-        }
-        for upstream in node.fleet.upstreams()
-    ]
+    def _on_accepted(self, event: TablesAccepted) -> None:
+        self._accepted_at = _wall_clock()
 
+    def _on_refused(self, event: TablesRefused) -> None:
+        self._refused_at = _wall_clock()
 
-def _join(names: Iterable[str]) -> str:
-    return ' '.join(sorted(names))
+    def _on_upstream(self, event: UpstreamStateChanged) -> None:
+        if event.state is UpstreamState.GONE:
+            self._states.pop(event.upstream, None)
+        else:
+            self._states[event.upstream] = event.state
 
 
-def _section(title: str, rows: Sequence[Mapping[str, Any]]) -> str:
-    if not rows:
-        return f'<h2>{title}</h2><p>none</p>'
-    head = ''.join(f'<th>{escape(name)}</th>' for name in rows[0])
-    lines = [
-        ''.join(f'<td>{escape(str(cell))}</td>' for cell in row.values())
-        for row in rows
-    ]
-    body = ''.join(f'<tr>{line}</tr>' for line in lines)
-    return f'<h2>{title}</h2><table><tr>{head}</tr>{body}</table>'
+def _wall_clock() -> str:
+    return datetime.now(UTC).isoformat(timespec='seconds')
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_rows.py
@@ -0,0 +1,92 @@
+"""The rows in force as JSON values."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from figdoor_kernel import Node, UpstreamId, UpstreamState, VmState
+
+Rows = list[dict[str, Any]]
+
+
+def routes(node: Node) -> Rows:
+    """Return the routes table in force."""
+    found = node.tables.routes if node.tables else ()
+    return [
+        {
+            'route': route.name,
+            'authority': route.authority,
+            'path_prefix': route.path_prefix,
+            'operations': _join(route.operations) or '*',
+            'pool': route.pool,
+            'idempotent': _join(route.idempotent),
+            'tenant': route.tenant or f'header:{route.tenant_attribute}',
+            'deadline_ms': route.deadline_ms,
+            'retry_percent': route.retry_percent,
+        }
+        for route in found
+    ]
+
+
+def pools(node: Node) -> Rows:
+    """Return the pools table in force, bounded by its row ``*``."""
+    found = node.tables.pools.values() if node.tables else ()
+    return [
+        {
+            'pool': pool.name,
+            'service': pool.service,
+            'availability_zones': _join(pool.availability_zones),
+            'slots': pool.slots,
+            'connections': pool.connections,
+            'cold_limit': pool.cold_limit,
+            'probes_per_s': pool.probes_per_s,
+        }
+        for pool in found
+    ]
+
+
+def upstreams(
+    node: Node,
+    states: Mapping[UpstreamId, UpstreamState],
+) -> Rows:
+    """Return all listed upstreams as this node sees them."""
+    return [
+        {
+            'upstream': upstream.upstream_id,
+            'service': upstream.service,
+            'availability_zone': upstream.availability_zone,
+            'vm_state': upstream.vm_state.value,
+            'state': _state(states.get(upstream.upstream_id)),
+            'in_flight': upstream.in_flight,
+            'instance': upstream.report.instance if upstream.report else '',
+        }
+        for upstream in node.fleet.upstreams()
+    ]
+
+
+def availability_zones(node: Node) -> Rows:
+    """Return each availability zone of a pool or an upstream, with counts."""
+    pools = node.tables.pools.values() if node.tables else ()
+    named = Counter(zone for pool in pools for zone in pool.availability_zones)
+    live: Counter[str] = Counter()
+    leaving: Counter[str] = Counter()
+    for upstream in node.fleet.upstreams():
+        counts = live if upstream.vm_state is VmState.LIVE else leaving
+        counts[upstream.availability_zone] += 1
+    return [
+        {
+            'availability_zone': zone,
+            'pools': named[zone],
+            'live_upstreams': live[zone],
+            'leaving_upstreams': leaving[zone],
+        }
+        for zone in sorted({*named, *live, *leaving})
+    ]
+
+
+def _state(state: UpstreamState | None) -> str:
+    return state.value if state else ''
+
+
+def _join(names: Iterable[str]) -> str:
+    return ' '.join(sorted(names))
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_server.py
@@ -9,7 +9,8 @@
 from twisted.web.server import Site
 
 from figdoor_gateway.loop import reactor
-from figdoor_gateway.operator._in_force import describe, render_page
+from figdoor_gateway.operator._in_force import InForce
+from figdoor_gateway.operator._page import render_page
 from figdoor_kernel import Extension, Node
 
 _UNAVAILABLE = 503
@@ -26,6 +27,7 @@
     def __init__(self, node: Node) -> None:
         """Use the node's parts when asked."""
         self._node = node
+        self._in_force = InForce(node)
         self._port: Any = None
 
     def start(self) -> None:
@@ -71,10 +73,10 @@
     def in_force(self, request: Request) -> bytes:
         """Return what is in force as JSON."""
         request.setHeader(b'content-type', b'application/json')
-        return json.dumps(describe(self._node), indent=2).encode()
+        return json.dumps(self._in_force.describe(), indent=2).encode()
 
     @app.route('/')
     def page(self, request: Request) -> bytes:
         """Return what is in force as a page."""
         request.setHeader(b'content-type', b'text/html; charset=utf-8')
-        return render_page(describe(self._node)).encode()
+        return render_page(self._in_force.describe()).encode()
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,94 @@
+"""Metrics: what they count and that callers cannot make them grow."""
+
+from support import (
+    ROUTES,
+    give_tables,
+    give_vms,
+    make_call,
+    make_node,
+    tables,
+    upstream_vm,
+)
+
+from figdoor_gateway.metrics import Metrics
+from figdoor_gateway.metrics._metrics import MAX_TENANTS
+from figdoor_kernel import (
+    Dispatcher,
+    Extension,
+    NodeState,
+    ProbeWanted,
+    Tick,
+)
+
+
+def lines(metrics, start):
+    text = metrics.render().decode()
+    return [line for line in text.splitlines() if line.startswith(start)]
+
+
+class TestMetrics:
+    def setup_method(self):
+        self.node = make_node()
+        self.node.registry.provide(
+            Extension.SERVICE,
+            'readiness',
+            FixedReadiness,
+        )
+        self.metrics = Metrics(self.node)
+        give_tables(self.node)
+
+    def refuse(self, tenant):
+        """Close one call as not run."""
+        dispatcher = Dispatcher(self.node)
+        now_ms = self.node.clock.now_ms()
+        call = make_call(tenant=tenant)
+        dispatcher.open(call, now_ms, lambda: None).next_step(now_ms)
+
+    def test_callers_cannot_add_series_by_naming_tenants(self):
+        for number in range(3 * MAX_TENANTS):
+            self.refuse(f't{number}')
+        found = lines(self.metrics, 'figdoor_calls_total')
+        assert len(found) == MAX_TENANTS + 1
+        other = [line for line in found if 'tenant="other"' in line]
+        assert other[0].endswith(f' {2 * MAX_TENANTS}.0')
+
+    def test_calls_are_counted_by_outcome_and_reason(self):
+        self.refuse('t1')
+        (line,) = lines(self.metrics, 'figdoor_calls_total')
+        assert 'outcome="not-run"' in line
+        assert 'reason="no-upstream"' in line
+
+    def test_routes_and_upstreams_that_left_take_their_series_along(self):
+        give_vms(self.node, upstream_vm('w1'))
+        self.node.events.publish(ProbeWanted('w1', 0))
+        self.refuse('t1')
+        give_vms(self.node)
+        renamed = ROUTES.replace('read,', 'look,')
+        give_tables(self.node, tables(2, routes=renamed))
+        assert not lines(self.metrics, 'figdoor_probes_total')
+        assert not lines(self.metrics, 'figdoor_calls_total')
+        assert not lines(self.metrics, 'figdoor_call_seconds_count')
+
+    def test_gauges_show_revision_readiness_and_age_of_the_lease(self):
+        self.node.clock.advance_ms(1500)
+        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2', 'z2'))
+        text = self.metrics.render().decode()
+        assert 'figdoor_tables_revision 1.0' in text
+        assert 'figdoor_ready 1.0' in text
+        assert 'figdoor_tables_confirmed_age_seconds 1.5' in text
+        assert 'figdoor_upstreams{service="work",vm_state="live"} 2.0' in text
+
+    def test_tick_that_comes_late_counts_as_a_pause(self):
+        for at_ms in (0, 50, 700, 750):
+            self.node.events.publish(Tick(at_ms))
+        assert 'figdoor_pauses_total 1.0' in self.metrics.render().decode()
+
+
+class FixedReadiness:
+    state = NodeState.READY
+
+    def __init__(self, node):
+        self.node = node
+
+    def reasons(self, now_ms):
+        return ()
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,61 @@
+"""Settings: precedence, and all findings together."""
+
+from figdoor_gateway.settings import (
+    OPTIONS,
+    Address,
+    describe_options,
+    read_settings,
+)
+
+NEEDED = {
+    'FIGDOOR_NODE_ID': 'n1',
+    'FIGDOOR_AVAILABILITY_ZONE': 'z1',
+    'FIGDOOR_PLATFORM_URL': 'http://127.0.0.1:9000/',
+}
+
+
+def read(*arguments, **environment):
+    return read_settings(['figdoor', *arguments], NEEDED | environment)
+
+
+class TestReadSettings:
+    def test_defaults_and_environment_give_typed_values(self):
+        settings = read(FIGDOOR_LISTEN='127.0.0.1:1').unwrap()
+        assert settings.listen == Address('127.0.0.1', 1)
+        assert settings.platform_url == 'http://127.0.0.1:9000'
+        assert settings.stop_grace_ms == 5000
+
+    def test_flag_wins_over_the_environment(self):
+        settings = read('--node_id=n2', '--log_level', 'DEBUG').unwrap()
+        assert (settings.node_id, settings.log_level) == ('n2', 'DEBUG')
+
+    def test_all_findings_are_reported_together_with_their_source(self):
+        found = read_settings(
+            ['figdoor', '--listen=localhost:1', 'stray'],
+            {
+                'FIGDOOR_NODE_ID': 'not a name',
+                'FIGDOOR_STOP_GRACE_MS': '-1',
+                'FIGDOOR_LOG_FORMAT': 'xml',
+                'FIGDOOR_MAX_BODY_BYTES': 'nan',
+            },
+        ).failure()
+        assert [str(one.place) for one in found] == [
+            'flags',
+            'FIGDOOR_NODE_ID',
+            '--availability_zone',
+            '--listen',
+            '--platform_url',
+            'FIGDOOR_LOG_FORMAT',
+            'FIGDOOR_STOP_GRACE_MS',
+            'FIGDOOR_MAX_BODY_BYTES',
+        ]
+
+    def test_unknown_flag_is_a_finding_and_no_traceback(self):
+        found = read('--colour=red').failure()
+        assert 'colour' in str(found[0])
+
+    def test_help_names_every_option_and_its_environment_variable(self):
+        text = describe_options()
+        for option in OPTIONS:
+            assert f'--{option.name}: ' in text
+            assert option.environment_name in text
