--- a/packages/figdoor-gateway/src/figdoor_gateway/logs.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/logs.py
@@ -8,10 +8,12 @@
 
 from loguru import logger
 from twisted.logger import (
+    ILogObserver,
     LogLevel,
     formatEvent,
     globalLogBeginner,
 )
+from zope.interface import provider
 
 LOG_FORMATS = ('text', 'json')
 _TEXT_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {name}: {message}'
@@ -39,6 +41,7 @@
     )
 
 
+@provider(ILogObserver)
 def log_twisted_event(event: Mapping[str, Any]) -> None:
     """Log one event of Twisted's own log, if it reports an error."""
     if event.get('log_level') not in _FAILURES:
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_rows.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_rows.py
@@ -4,7 +4,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from figdoor_kernel import Node, UpstreamId, UpstreamState, VmState
+from figdoor_kernel import (
+    AvailabilityZoneName,
+    Node,
+    UpstreamId,
+    UpstreamState,
+    VmState,
+)
 
 Rows = list[dict[str, Any]]
 
@@ -68,8 +74,8 @@
     """Return each availability zone of a pool or an upstream, with counts."""
     pools = node.tables.pools.values() if node.tables else ()
     named = Counter(zone for pool in pools for zone in pool.availability_zones)
-    live: Counter[str] = Counter()
-    leaving: Counter[str] = Counter()
+    live: Counter[AvailabilityZoneName] = Counter()
+    leaving: Counter[AvailabilityZoneName] = Counter()
     for upstream in node.fleet.upstreams():
         counts = live if upstream.vm_state is VmState.LIVE else leaving
         counts[upstream.availability_zone] += 1
