Plan reads of the platform within a bound for the whole fleet

Cause: every node held a watch and read the VM list every 0.75 s: at 640 nodes 640 waiting watches and about 850 list reads a second. An answer 500 of the service counted as a confirmation of the tables. A read that ran into its time limit ended the watch for good, since the time-out arrived as a cancellation. Watches of 1 s confirmed the lease of 2 s a few milliseconds too late.

Change: the decision plug-in reading-plan says when to read; the gateway's sources follow it on each tick. Time limits cover the whole answer, whose length is bounded, and failures are told as ServiceFailed.

--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/reading/_holders.py
@@ -0,0 +1,30 @@
+"""Which nodes hold a waiting watch on the configuration service."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from figdoor_kernel import AvailabilityZoneName, NodeId, Vm, VmState
+
+HOLDERS_PER_ZONE = 2
+
+
+def holds_watch(
+    own: NodeId,
+    zone: AvailabilityZoneName,
+    nodes: Iterable[Vm],
+) -> bool:
+    """Return whether rendezvous hashing picks this node in its zone."""
+    ranked = sorted(
+        (
+            NodeId(vm.vm_id)
+            for vm in nodes
+            if vm.availability_zone == zone and vm.state is VmState.LIVE
+        ),
+        key=_score,
+    )
+    return own in ranked[:HOLDERS_PER_ZONE]
+
+
+def _score(node_id: NodeId) -> tuple[int, NodeId]:
+    return xxhash.xxh64_intdigest(f'watch {node_id}'.encode()), node_id
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -1,22 +1,28 @@
 """A small HTTP client for the platform's read-only interface."""
 
+import json
 from typing import Any
 
-import treq
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError
-from twisted.internet.task import deferLater
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
+from figdoor_kernel import FigdoorError
 
 MAX_ANSWER_BYTES = 4_000_000
 _OK = 200
+_NOTHING_NEWER = 204
+
+
+class PlatformError(FigdoorError):
+    """The platform answered, but not with a value."""
 
 
 class PlatformClient:
-    """Gets JSON values; everything that goes wrong raises an exception."""
+    """Gets JSON values; everything that goes wrong is a failure."""
 
     def __init__(self, base_url: str) -> None:
         """Keep connections, and resend nothing on our own."""
@@ -26,36 +32,63 @@
         self._http = HTTPClient(Agent(reactor, pool=self._pool))
         self._base_url = base_url
 
-    async def get(
+    def get(
         self,
         path: str,
         timeout_ms: float,
         **query: str,
-    ) -> Any:
-        """Return the decoded value, or ``None`` where nothing is newer."""
+    ) -> Deferred[Any]:
+        """Return the decoded value, or ``None`` where nothing is newer.
+
+        The time limit covers the whole answer. treq's own would end with
+        the head, and an answer that stalls after it would hang for ever.
+        """
+        found = Deferred.fromCoroutine(self._get(path, query))
+        return found.addTimeout(timeout_ms / MS_PER_SECOND, reactor)
+
+    async def _get(self, path: str, query: dict[str, str]) -> Any:
         response = await self._http.get(
             f'{self._base_url}{path}',
             params=query,
-            timeout=timeout_ms / MS_PER_SECOND,
+            unbuffered=True,
         )
-        if response.code != _OK:
-            await treq.content(response)
+        body = _Body()
+        response.deliverBody(body)
+        text = await body.whole
+        if response.code == _NOTHING_NEWER:
             return None
-        return await treq.json_content(response)
+        if response.code != _OK:
+            raise PlatformError(f'{path} answered {response.code}')
+        return json.loads(text)
 
 
-async def sleep_ms(delay_ms: float) -> None:
-    """Wait without blocking the loop."""
-    await deferLater(reactor, delay_ms / MS_PER_SECOND)
+class _Body(Protocol):
+    """Collects an answer's body of bounded length."""
 
+    def __init__(self) -> None:
+        self.whole: Deferred[bytes] = Deferred(self._abandon)
+        self._parts = bytearray()
 
-def ignore_cancellation(failure: Failure) -> None:
-    """End a coroutine's Deferred quietly when it was cancelled."""
-    failure.trap(CancelledError)
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take a part of the body."""
+        self._parts += data
+        if len(self._parts) > MAX_ANSWER_BYTES and not self.whole.called:
+            self.whole.errback(PlatformError('answer is too long'))
+            self._abandon(self.whole)
 
+    def connectionLost(  # noqa: N802
+        self,
+        reason: Failure = connectionDone,
+    ) -> None:
+        """Take the end of the body, or of its connection."""
+        if self.whole.called:
+            return
+        if reason.check(ResponseDone):
+            self.whole.callback(bytes(self._parts))
+        else:
+            self.whole.errback(reason)
 
-def raise_if_cancelled(error: Exception) -> None:
-    """Raise ``CancelledError`` where treq has wrapped one."""
-    reasons = getattr(error, 'reasons', ())
-    if any(reason.check(CancelledError) for reason in reasons):
-        raise CancelledError from error
+    def _abandon(self, _: object) -> None:
+        transport: Any = self.transport
+        if transport is not None:
+            transport.loseConnection()
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_config_source.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_config_source.py
@@ -1,72 +1,91 @@
-"""Watches the tables on the configuration service."""
+"""Reads the tables from the configuration service when the plan says so."""
+
+from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
-from figdoor_gateway.platform._client import (
-    PlatformClient,
-    ignore_cancellation,
-    raise_if_cancelled,
-    sleep_ms,
+from figdoor_decisions.configuration import Acceptance
+from figdoor_decisions.reading import ReadingPlan
+from figdoor_gateway.platform._client import PlatformClient
+from figdoor_kernel import (
+    Extension,
+    Node,
+    Revision,
+    ServiceConfirmed,
+    ServiceFailed,
+    TablesOffered,
+    Tick,
 )
-from figdoor_kernel import Node, Revision, ServiceConfirmed, TablesOffered
 
-WATCH_WAIT_MS = 1000
-TIMEOUT_MARGIN_MS = 500
-RETRY_DELAY_MS = 500
+# The service answers in milliseconds. A read that hangs must fail early
+# enough for the next one to keep a lease of 2 s.
+TIMEOUT_MARGIN_MS = 250
 
 
 class HttpConfigSource:
-    """Holds one waiting watch at a time, ``GET /v1/tables``."""
+    """Has at most one ``GET /v1/tables`` under way."""
 
     def __init__(self, node: Node) -> None:
         """Use the platform that the settings name."""
         self._node = node
+        self._plan: ReadingPlan = node.part(Extension.SERVICE, 'reading-plan')
+        self._acceptance: Acceptance = node.part(
+            Extension.SERVICE,
+            'acceptance',
+        )
         self._client = PlatformClient(node.settings.platform_url)
-        self._running: Deferred[None] | None = None
-        self._offered = Revision(0)
+        self._reading: Deferred[Any] | None = None
+        self._is_running = False
+        node.events.subscribe(Tick, self._on_tick)
 
     def start(self) -> None:
-        """Begin to watch."""
-        self._running = Deferred.fromCoroutine(self._watch())
-        self._running.addErrback(ignore_cancellation)
+        """Begin to read."""
+        self._is_running = True
 
     def stop(self) -> None:
-        """End the watch."""
-        if self._running is not None:
-            self._running.cancel()
+        """End a read that is under way."""
+        self._is_running = False
+        if self._reading is not None:
+            self._reading.cancel()
 
-    async def _watch(self) -> None:
-        wait_ms = 0
-        while True:
-            started_ms = self._node.clock.now_ms()
-            try:
-                await self._read(started_ms, wait_ms)
-            except CancelledError:
-                raise
-            except Exception as error:
-                raise_if_cancelled(error)
-                logger.warning('configuration service: {!r}', error)
-                jitter = 1 + self._node.random.random()
-                await sleep_ms(RETRY_DELAY_MS * jitter)
-            wait_ms = WATCH_WAIT_MS
+    def _on_tick(self, event: Tick) -> None:
+        if not self._is_running or self._reading is not None:
+            return
+        planned = self._plan.next_tables_read(event.now_ms)
+        if planned is not None:
+            known = self._acceptance.known_revision
+            self._reading = self._client.get(
+                '/v1/tables',
+                planned.wait_ms + TIMEOUT_MARGIN_MS,
+                after=str(known),
+                wait_ms=str(planned.wait_ms),
+            )
+            self._reading.addCallback(self._take, event.now_ms, known)
+            self._reading.addErrback(self._fail, event.now_ms)
+            self._reading.addBoth(self._end)
 
-    async def _read(self, started_ms: float, wait_ms: float) -> None:
-        answer = await self._client.get(
-            '/v1/tables',
-            wait_ms + TIMEOUT_MARGIN_MS,
-            after=str(self._offered),
-            wait_ms=str(wait_ms),
-        )
-        node = self._node
+    def _take(self, answer: Any, started_ms: float, known: Revision) -> None:
+        events = self._node.events
+        revision = known
         if answer is not None:
-            self._offered = Revision(int(answer['revision']))
-            node.events.publish(
+            revision = Revision(int(answer['revision']))
+            events.publish(
                 TablesOffered(
-                    self._offered,
+                    revision,
                     str(answer['routes']),
                     str(answer['pools']),
-                    node.clock.now_ms(),
+                    self._node.clock.now_ms(),
                 ),
             )
-        node.events.publish(ServiceConfirmed(started_ms, self._offered))
+        events.publish(ServiceConfirmed(started_ms, revision))
+
+    def _fail(self, failure: Failure, started_ms: float) -> None:
+        if self._is_running:
+            logger.warning('configuration service: {!r}', failure.value)
+            now_ms = self._node.clock.now_ms()
+            self._node.events.publish(ServiceFailed(started_ms, now_ms))
+
+    def _end(self, _: object) -> None:
+        self._reading = None
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
@@ -1,21 +1,20 @@
-"""Polls the platform's VM list."""
+"""Reads the platform's VM list when the plan says so."""
 
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
-from figdoor_gateway.platform._client import (
-    PlatformClient,
-    ignore_cancellation,
-    raise_if_cancelled,
-    sleep_ms,
-)
+from figdoor_decisions.reading import ReadingPlan
+from figdoor_gateway.platform._client import PlatformClient
 from figdoor_kernel import (
     AvailabilityZoneName,
+    Extension,
     Node,
     ServiceName,
+    Tick,
     Vm,
     VmId,
     VmList,
@@ -23,49 +22,55 @@
     VmState,
 )
 
-POLL_INTERVAL_MS = 500
 TIMEOUT_MS = 2000
 
 
 class HttpVmListSource:
-    """Reads ``GET /v1/vms`` again and again; keeps the last list on errors."""
+    """Reads ``GET /v1/vms`` when the plan says so.
+
+    On errors the last list stays.
+    """
 
     def __init__(self, node: Node) -> None:
         """Use the platform that the settings name."""
         self._node = node
+        self._plan: ReadingPlan = node.part(Extension.SERVICE, 'reading-plan')
         self._client = PlatformClient(node.settings.platform_url)
-        self._running: Deferred[None] | None = None
+        self._reading: Deferred[Any] | None = None
+        self._is_running = False
+        node.events.subscribe(Tick, self._on_tick)
 
     def start(self) -> None:
-        """Begin to poll."""
-        self._running = Deferred.fromCoroutine(self._poll())
-        self._running.addErrback(ignore_cancellation)
+        """Begin to read."""
+        self._is_running = True
 
     def stop(self) -> None:
-        """End polling."""
-        if self._running is not None:
-            self._running.cancel()
-
-    async def _poll(self) -> None:
-        while True:
-            try:
-                await self._read()
-            except CancelledError:
-                raise
-            except Exception as error:
-                raise_if_cancelled(error)
-                logger.warning('VM list: {!r}', error)
-            jitter = 1 + self._node.random.random()
-            await sleep_ms(POLL_INTERVAL_MS * jitter)
-
-    async def _read(self) -> None:
-        answer = await self._client.get('/v1/vms', TIMEOUT_MS)
-        if answer is None:
+        """End a read that is under way."""
+        self._is_running = False
+        if self._reading is not None:
+            self._reading.cancel()
+
+    def _on_tick(self, event: Tick) -> None:
+        if not self._is_running or self._reading is not None:
             return
-        node = self._node
-        node.events.publish(
-            VmListChanged(read_vm_list(answer['vms']), node.clock.now_ms()),
-        )
+        if self._plan.may_read_vm_list(event.now_ms):
+            self._reading = self._client.get('/v1/vms', TIMEOUT_MS)
+            self._reading.addCallback(self._take)
+            self._reading.addErrback(self._fail)
+            self._reading.addBoth(self._end)
+
+    def _take(self, answer: Any) -> None:
+        if answer is not None:
+            vm_list = read_vm_list(answer['vms'])
+            now_ms = self._node.clock.now_ms()
+            self._node.events.publish(VmListChanged(vm_list, now_ms))
+
+    def _fail(self, failure: Failure) -> None:
+        if self._is_running:
+            logger.warning('VM list: {!r}', failure.value)
+
+    def _end(self, _: object) -> None:
+        self._reading = None
 
 
 def read_vm_list(rows: Sequence[Mapping[str, Any]]) -> VmList:
--- /dev/null
+++ b/tests/gateway/platform/test_sources.py
@@ -0,0 +1,97 @@
+"""What the sources make of the platform's answers."""
+
+from types import SimpleNamespace
+
+from support import POOLS, ROUTES, Recorder, give_tables, make_node, tables
+from twisted.internet.defer import Deferred, fail, succeed
+
+from figdoor_gateway.platform import HttpConfigSource, HttpVmListSource
+from figdoor_kernel import (
+    ServiceConfirmed,
+    ServiceFailed,
+    TablesOffered,
+    Tick,
+    VmListChanged,
+)
+
+
+class FakeClient:
+    """Gives the answers it was told to, and keeps the queries."""
+
+    def __init__(self):
+        self.answers = []
+        self.queries = []
+
+    def get(self, path, timeout_ms, **query):
+        self.queries.append(query)
+        return self.answers.pop(0)
+
+
+def start_source(kind):
+    node = make_node()
+    node.settings = SimpleNamespace(platform_url='http://127.0.0.1:1')
+    source = kind(node)
+    source._client = FakeClient()
+    source.start()
+    return node, source
+
+
+def tick(node, after_ms=0):
+    node.clock.advance_ms(after_ms)
+    node.events.publish(Tick(node.clock.now_ms()))
+
+
+class TestConfigSource:
+    def setup_method(self):
+        self.node, self.source = start_source(HttpConfigSource)
+        self.answers = self.source._client.answers
+        self.offered = Recorder(self.node, TablesOffered)
+        self.confirmed = Recorder(self.node, ServiceConfirmed)
+        self.failed = Recorder(self.node, ServiceFailed)
+
+    def test_value_is_offered_and_confirms_the_start_of_the_read(self):
+        waiting = Deferred()
+        self.answers.append(waiting)
+        tick(self.node)
+        started_ms = self.node.clock.now_ms()
+        tick(self.node, 50)
+        waiting.callback({'revision': 3, 'routes': ROUTES, 'pools': POOLS})
+        assert self.offered.events[0].revision == 3
+        assert self.confirmed.events == [ServiceConfirmed(started_ms, 3)]
+
+    def test_failed_read_confirms_nothing_and_is_repeated(self):
+        self.answers += [fail(OSError('refused')), succeed(None)]
+        tick(self.node)
+        assert not self.confirmed.events
+        assert len(self.failed.events) == 1
+        for _ in range(60):
+            tick(self.node, 100)
+        assert len(self.confirmed.events) == 1
+
+    def test_read_asks_for_what_is_newer_than_the_tables_in_force(self):
+        give_tables(self.node, tables(8))
+        self.node.clock.advance_ms(3000)
+        self.answers.append(succeed(None))
+        tick(self.node)
+        assert self.source._client.queries[0]['after'] == '8'
+
+    def test_stopped_source_reports_no_failure(self):
+        self.answers.append(Deferred())
+        tick(self.node)
+        self.source.stop()
+        assert not self.failed.events
+
+
+class TestVmListSource:
+    def test_list_that_cannot_be_read_leaves_the_last_one(self):
+        node, source = start_source(HttpVmListSource)
+        changed = Recorder(node, VmListChanged)
+        source._client.answers += [
+            succeed({'vms': [{'id': 'n1'}]}),
+            fail(OSError('refused')),
+            succeed({'vms': []}),
+        ]
+        for _ in range(60):
+            if source._client.answers:
+                tick(node, 100)
+        assert len(changed.events) == 1
