Make the adaptive chooser cheaper

Change: the usual latency and the slots are read once per choice, and the wait for a slot is computed without calls.

--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_adaptive.py
@@ -1,6 +1,7 @@
 """The policy for upstreams whose load shifts within milliseconds."""
 
 from collections.abc import Sequence
+from math import inf
 
 from figdoor_decisions.choosers._estimates import Estimates
 from figdoor_kernel import Node, RoutedCall, Upstream
@@ -40,47 +41,47 @@
         now_ms: float,
     ) -> Upstream:
         """Return the best of the samples."""
+        usual_ms = self._estimates.usual_ms(routed.route.name)
+        slots = routed.pool.slots
+        best = candidates[0]
+        best_ms = inf
+        for sample in self._samples(candidates):
+            delay_ms = self._delay_ms(sample, slots, usual_ms, now_ms)
+            if delay_ms < best_ms:
+                best = sample
+                best_ms = delay_ms
+        return best
+
+    def _samples(self, candidates: Sequence[Upstream]) -> list[Upstream]:
         own_zone = self._availability_zone
         local: list[Upstream] = []
         remote: list[Upstream] = []
         for upstream in candidates:
             is_local = upstream.availability_zone == own_zone
             (local if is_local else remote).append(upstream)
-        samples = self._sample(local, LOCAL_SAMPLES)
-        samples += self._sample(remote, REMOTE_SAMPLES)
-        return min(
-            samples,
-            key=lambda sample: self._delay_ms(sample, routed, now_ms),
-        )
-
-    def _sample(self, group: list[Upstream], size: int) -> list[Upstream]:
         # Sampling a small group too gives ties no fixed winner.
-        return self._random.sample(group, min(size, len(group)))
+        sample = self._random.sample
+        chosen = sample(local, min(LOCAL_SAMPLES, len(local)))
+        return chosen + sample(remote, min(REMOTE_SAMPLES, len(remote)))
 
     def _delay_ms(
         self,
         upstream: Upstream,
-        routed: RoutedCall,
+        slots: int,
+        usual_ms: float,
         now_ms: float,
     ) -> float:
-        """Return the expected delay beyond the time of the work itself."""
+        """Return the expected delay beyond the time of the work itself.
+
+        The square stands for the chance that all slots are busy on arrival.
+        """
         estimate = self._estimates.of(upstream.upstream_id)
-        usual_ms = self._estimates.usual_ms(routed.route.name)
-        slowness_ms = estimate.expected_ms(now_ms) - SLOW_FACTOR * usual_ms
-        slots = routed.pool.slots
-        delay_ms = usual_ms * _queueing(
-            estimate.load(upstream, slots + UNKNOWN_QUEUE, now_ms),
-            slots,
-        )
+        load = estimate.load(upstream.in_flight, slots + UNKNOWN_QUEUE, now_ms)
+        share = load / slots
+        delay_ms = usual_ms * share * share
+        if load > slots - 1:
+            delay_ms += usual_ms * (load + 1 - slots) / slots
         if upstream.availability_zone != self._availability_zone:
             delay_ms += REMOTE_COST_MS
-        return delay_ms + max(0, slowness_ms)
-
-
-def _queueing(load: float, slots: int) -> float:
-    """Return the expected wait for a slot, as a share of the usual latency.
-
-    The square stands for the chance that all slots are busy on arrival.
-    """
-    overflow = max(0, load + 1 - slots)
-    return (load / slots) ** 2 + overflow / slots
+        slowness_ms = estimate.expected_ms(now_ms) - SLOW_FACTOR * usual_ms
+        return delay_ms + slowness_ms if slowness_ms > 0 else delay_ms
--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
@@ -11,7 +11,6 @@
     Node,
     ReportSeen,
     RouteName,
-    Upstream,
     UpstreamId,
     VmListChanged,
 )
@@ -54,12 +53,15 @@
         A slowed upstream shows in the attempts that it does not answer
         before any slow answer arrives.
         """
-        oldest_ms = next(iter(self.started_ms.values()), now_ms)
-        return max(self._aged_ms(now_ms), now_ms - oldest_ms)
+        aged_ms = self._aged_ms(now_ms)
+        if not self.started_ms:
+            return aged_ms
+        waited_ms = now_ms - next(iter(self.started_ms.values()))
+        return max(aged_ms, waited_ms)
 
     def load(
         self,
-        upstream: Upstream,
+        in_flight: int,
         unknown: float,
         now_ms: float,
     ) -> float:
@@ -69,10 +71,10 @@
         """
         age_ms = now_ms - self.others_at_ms
         if age_ms > REPORT_EXPIRY_MS:
-            return upstream.in_flight + unknown
+            return in_flight + unknown
         fresh: float = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
         others = self.others * fresh + unknown * (1 - fresh)
-        return upstream.in_flight + others
+        return in_flight + others
 
     def _aged_ms(self, now_ms: float) -> float:
         elapsed_ms = max(0, now_ms - self.latency_at_ms)
