Add limits: in-flight caps, subsets, connection shares, tenants' shares

Change: plug-in figdoor_decisions.limits. A cap per upstream of max(2, floor(2 * slots / nodes)), halved by sheds and given back by answers; no sending past a fresh report of full slots; rendezvous subsets with a quota per availability zone; connection-limits for the transport; tenants above their equal share of a contended pool are refused first.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -3,7 +3,7 @@
 The real dispatcher, nodes and decision plug-ins send to fake workers: 20 of
 6 slots in 4 availability zones. Two workers at a time slow tenfold for
 200 ms, one fails fast and one restarts cold. Run it with
-``.venv/bin/python bench/policies.py [--limits] [POLICY...]``.
+``.venv/bin/python bench/policies.py [--without-limits] [POLICY...]``.
 """
 
 import gc
@@ -21,7 +21,7 @@
     Worker,
 )
 
-from figdoor_decisions import choosers, eligibility, retries, routing
+from figdoor_decisions import choosers, eligibility, limits, retries, routing
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
@@ -246,9 +246,7 @@
     gc.freeze()
     began = time.monotonic()
     plugins = [routing, eligibility, choosers, retries]
-    if '--limits' in arguments:
-        from figdoor_decisions import limits
-
+    if '--without-limits' not in arguments:
         plugins.append(limits)
     policies = [name for name in arguments if not name.startswith('--')]
     print('nodes load policy          p50 ms  p99 ms [min-max]', end='')
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
@@ -0,0 +1,31 @@
+"""Limits on what one node sends to upstreams and takes from tenants."""
+
+from figdoor_decisions.limits._caps import (
+    InFlightLimit,
+    connection_cap,
+    in_flight_cap,
+)
+from figdoor_decisions.limits._connections import ConnectionLimits
+from figdoor_decisions.limits._fairness import TenantShare
+from figdoor_decisions.limits._sharing import Sharing
+from figdoor_decisions.limits._subsetting import choose_subset
+from figdoor_kernel import Extension, Registry
+
+__all__ = (
+    'ConnectionLimits',
+    'InFlightLimit',
+    'Sharing',
+    'TenantShare',
+    'choose_subset',
+    'connection_cap',
+    'in_flight_cap',
+    'register',
+)
+
+
+def register(registry: Registry) -> None:
+    """Provide subsets, the limits per upstream and the tenants' shares."""
+    registry.provide(Extension.SERVICE, 'sharing', Sharing)
+    registry.provide(Extension.SERVICE, 'connection-limits', ConnectionLimits)
+    registry.provide(Extension.CANDIDATE_RULE, 'in-flight', InFlightLimit)
+    registry.provide(Extension.ADMISSION_RULE, 'tenant-share', TenantShare)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
@@ -0,0 +1,157 @@
+"""How many requests this node may have in flight at one upstream."""
+
+from dataclasses import dataclass
+
+from figdoor_decisions.limits._sharing import Sharing
+from figdoor_kernel import (
+    AttemptEnded,
+    AttemptState,
+    Extension,
+    Node,
+    ReportSeen,
+    RoutedCall,
+    Upstream,
+    UpstreamId,
+    Verdict,
+    VmListChanged,
+)
+
+# Nodes are not equally busy at the same moment, and upstreams queue a few
+# requests before they shed. A cap of the fair share refused 7% at 80% load.
+OVERCOMMIT = 2
+# Requests that a fresh report may show beyond the slots, as a share of them.
+QUEUE_SHARE = 0.5
+SHED_WINDOW_MS = 100.0
+# A report says little after the usual time of a request.
+FRESH_REPORT_MS = 10.0
+
+
+def in_flight_cap(slots: int, nodes: int) -> int:
+    """Return one node's share of the slots of an upstream.
+
+    The sum over ``nodes`` is at most ``OVERCOMMIT * max(nodes, slots)``::
+
+        >>> in_flight_cap(6, 1), in_flight_cap(6, 5), in_flight_cap(6, 16)
+        (12, 2, 2)
+    """
+    return max(OVERCOMMIT, OVERCOMMIT * slots // max(1, nodes))
+
+
+def connection_cap(connections: int, nodes: int) -> int:
+    """Return one node's share of the connections of an upstream, at least 1.
+
+    The sum over ``nodes`` is at most ``max(nodes, connections)``.
+    """
+    return max(1, connections // max(1, nodes))
+
+
+@dataclass(slots=True)
+class _Limit:
+    """The cap of one upstream, and what sheds and reports of it say.
+
+    ``share`` is 0 outside the node's subset. It was worked out for ``slots``
+    and the VM list in force, and again after ``slots`` was set to 0. ``room``
+    is what a report that came at ``others_at_ms`` leaves for this node.
+    """
+
+    slots: int = 0
+    share: int = 0
+    cap: int = 0
+    shed_at_ms: float = float('-inf')
+    room: int = 0
+    others_at_ms: float = float('-inf')
+
+
+class InFlightLimit:
+    """Caps own attempts in flight at each upstream of the node's subset.
+
+    A shed halves the cap, at most once within a window, since requests that
+    left together are shed together. Each answer gives one back once a window
+    has passed without a shed.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow attempts, reports and the VM list."""
+        self._fleet = node.fleet
+        self._sharing: Sharing = node.part(Extension.SERVICE, 'sharing')
+        self._limits: dict[UpstreamId, _Limit] = {}
+        node.events.subscribe(AttemptEnded, self._on_ended)
+        node.events.subscribe(ReportSeen, self._on_report)
+        node.events.subscribe(VmListChanged, self._on_vm_list)
+
+    def judge(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> Verdict:
+        """Allow one more attempt where it stays within the cap."""
+        slots = routed.pool.slots
+        limit = self._limits.get(upstream.upstream_id)
+        if limit is None or limit.slots != slots:
+            limit = self._of(upstream, slots)
+        # Runs for every upstream of the pool, so the common case comes first.
+        if upstream.in_flight >= limit.cap:
+            return Verdict.DENY
+        if now_ms - limit.others_at_ms > FRESH_REPORT_MS:
+            return Verdict.ALLOW
+        if upstream.in_flight < limit.room:
+            return Verdict.ALLOW
+        return Verdict.DENY
+
+    def confirm(
+        self,
+        upstream: Upstream,
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> bool:
+        """Apply the cap to attempts of which this is already one."""
+        limit = self._of(upstream, routed.pool.slots)
+        if upstream.in_flight > limit.cap:
+            return False
+        if now_ms - limit.others_at_ms > FRESH_REPORT_MS:
+            return True
+        return upstream.in_flight <= limit.room
+
+    def cap(self, upstream: Upstream, slots: int) -> int:
+        """Return the current cap, 0 outside the subset."""
+        return self._of(upstream, slots).cap
+
+    def _of(self, upstream: Upstream, slots: int) -> _Limit:
+        limit = self._limits.setdefault(upstream.upstream_id, _Limit())
+        if limit.slots != slots:
+            nodes = self._sharing.nodes_at(upstream)
+            share = in_flight_cap(slots, nodes) if nodes else 0
+            # A cap that sheds have lowered stays low.
+            is_lowered = limit.cap < limit.share
+            limit.cap = min(limit.cap, share) if is_lowered else share
+            limit.share = share
+            limit.slots = slots
+        return limit
+
+    def _on_ended(self, event: AttemptEnded) -> None:
+        limit = self._limits.get(event.upstream)
+        if limit is None or event.now_ms - limit.shed_at_ms < SHED_WINDOW_MS:
+            return
+        if event.state is AttemptState.SHED:
+            limit.cap = max(1, limit.cap // 2)
+            limit.shed_at_ms = event.now_ms
+        elif event.state is AttemptState.ANSWERED:
+            limit.cap = min(limit.share, limit.cap + 1)
+
+    def _on_report(self, event: ReportSeen) -> None:
+        upstream = self._fleet.find(event.upstream)
+        limit = self._limits.get(event.upstream)
+        if upstream is not None and limit is not None:
+            # The attempt whose answer brings the report is over there.
+            own = max(0, upstream.in_flight - 1)
+            others = max(0, event.report.running - own)
+            limit.room = int(limit.slots * (1 + QUEUE_SHARE)) - others
+            limit.others_at_ms = event.now_ms
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
+        for gone in self._limits.keys() - listed:
+            self._limits.pop(gone)
+        for limit in self._limits.values():
+            limit.slots = 0
