Add process tests of the request path; repair the watch after a time-out

Cause: nothing compared what callers are told with what ran while processes die, stop, lie or are paused.

Change: a stand-in caller with one request per connection that reports what it was told per request id, journals of executions that survive a kill, and 17 tests (marker `processes`).

The test with a paused gateway found that a read of the configuration service that timed out ended the watch for good, without a log line: treq reports its time-out as a cancellation, and the watch took it for its own. Such a node stays unready until it is replaced. The client now times out with an error of its own, and the watch retries.

Ruled out: counting executions over /_executions, since a killed upstream forgets them.

--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -4,7 +4,7 @@
 
 import treq
 from treq.client import HTTPClient
-from twisted.internet.defer import CancelledError
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool
@@ -33,10 +33,19 @@
         **query: str,
     ) -> Any:
         """Return the decoded value, or ``None`` where nothing is newer."""
+        answer = Deferred.fromCoroutine(self._get(path, query))
+        # A time-out must not look like the cancellation that ends a watch.
+        answer.addTimeout(
+            timeout_ms / MS_PER_SECOND,
+            reactor,
+            onTimeoutCancel=_time_out,
+        )
+        return await answer
+
+    async def _get(self, path: str, query: dict[str, str]) -> Any:
         response = await self._http.get(
             f'{self._base_url}{path}',
             params=query,
-            timeout=timeout_ms / MS_PER_SECOND,
         )
         if response.code != _OK:
             await treq.content(response)
@@ -59,3 +68,7 @@
     reasons = getattr(error, 'reasons', ())
     if any(reason.check(CancelledError) for reason in reasons):
         raise CancelledError from error
+
+
+def _time_out(_: object, timeout_s: float) -> None:
+    raise TimeoutError(f'no answer within {timeout_s} s')
--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -80,6 +81,20 @@
         self.send(signal.SIGKILL)
         self.child.wait()
 
+    @property
+    def cpu_s(self):
+        """Processor time that the process has used."""
+        text = Path(f'/proc/{self.child.pid}/stat').read_text()
+        fields = text.rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+    @property
+    def resident_bytes(self):
+        """Memory that the process holds."""
+        pages = Path(f'/proc/{self.child.pid}/statm').read_text().split()[1]
+        return int(pages) * os.sysconf('SC_PAGE_SIZE')
+
     def stop(self, timeout_s=30):
         """Ask the process to stop; return its exit code."""
         self.send(signal.SIGTERM)
@@ -124,6 +139,31 @@
         return _row(self.vm_id, self.service, self.zone, self.port, self.state)
 
 
+class CallerProcess(Process):
+    """A stand-in caller that runs in the background."""
+
+    def __init__(self, ports, **options):
+        self.output = tempfile.TemporaryFile('w+')
+        flags = [f'--{name}={text}' for name, text in options.items()]
+        listed = ','.join(str(port) for port in ports)
+        self.child = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'figdoor_standins.caller',
+                f'--ports={listed}',
+                *flags,
+            ],
+            stdout=self.output,
+        )
+
+    def result(self, timeout_s=60):
+        """Wait for the end and return what the caller prints."""
+        self.child.wait(timeout_s)
+        self.output.seek(0)
+        return json.load(self.output)
+
+
 class GatewayProcess(Process):
     """A figdoor node."""
 
@@ -251,6 +291,11 @@
         self.gateways.append(gateway)
         return gateway
 
+    def start_caller(self, ports=None, **options):
+        """Start a caller of these ports, else of all gateways."""
+        ports = ports or [gateway.port for gateway in self.gateways]
+        return self._own(CallerProcess(ports, **options))
+
     def list_vms(self):
         """Publish all members as the VM list."""
         self.platform.list_vms([*self.upstreams, *self.gateways])
--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -25,6 +25,7 @@
 flags.DEFINE_integer('slots', 6, 'requests that run at once')
 flags.DEFINE_float('service_ms', 2, 'time that a request runs')
 flags.DEFINE_integer('queue_limit', 4, 'requests that wait; more are shed')
+flags.DEFINE_string('journal', '', 'file that gets each request id it runs')
 flags.DEFINE_string('instance', '', 'instance mark; default: pid and port')
 
 
@@ -40,7 +41,9 @@
     fail_fast: int = 0
     truncate: int = 0
     reset: int = 0
+    reset_reused: int = 0
     garbage: int = 0
+    garbage_after: int = 0
     answer_bytes: int = 0
     chunked: int = 0
     cold_limit: int = 0
@@ -57,6 +60,7 @@
     most_running: int = 0
     fallen: bool = False
     probes: int = 0
+    journal: object = None
     started: list = field(default_factory=list)
     executions: Counter = field(default_factory=Counter)
     waiting: deque = field(default_factory=deque)
@@ -85,6 +89,9 @@
         request_id = connection.request_id
         if request_id:
             self.executions[request_id] += 1
+            if self.journal:
+                # Unbuffered, so that a kill loses nothing.
+                os.write(self.journal, f'{request_id}\n'.encode())
         delay_s = 0 if behaviour.fail_fast else behaviour.service_ms / 1000
         reactor.callLater(delay_s, self.finish, connection)
 
@@ -115,6 +122,7 @@
         self.url = b''
         self.headers = {}
         self.body = bytearray()
+        self.requests = 0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -148,7 +156,9 @@
 
     def on_message_complete(self):
         self.method = self.parser.get_method()
+        self.requests += 1
         path, _, query = self.url.decode('latin-1').partition('?')
+        self.is_control = path.startswith('/_')
         if path == '/_control':
             for name, text in parse_qsl(query):
                 kind = type(getattr(Behaviour(), name))
@@ -171,6 +181,8 @@
         elif path == '/load':
             self.worker.probes += 1
             self.write(200, b'')
+        elif self.worker.behaviour.reset_reused and self.requests > 1:
+            self.transport.abortConnection()
         else:
             self.worker.take(self)
 
@@ -215,9 +227,11 @@
         if self.method == b'HEAD':
             body = b''
         rendered = b'\r\n'.join(lines) + b'\r\n\r\n'
-        if truncate and status == 200:
+        if truncate and status == 200 and not self.is_control:
             self.transport.write(rendered + body[: len(body) // 2])
             self.transport.loseConnection()
+        elif self.worker.behaviour.garbage_after and not self.is_control:
+            self.transport.write(rendered + body + b'\x00garbage\r\n\r\n')
         else:
             self.transport.write(rendered + body)
 
@@ -231,6 +245,9 @@
         queue_limit=FLAGS.queue_limit,
     )
     worker = Worker(behaviour, instance)
+    if FLAGS.journal:
+        mode = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        worker.journal = os.open(FLAGS.journal, mode)
     factory = Factory()
     factory.noisy = False
     factory.buildProtocol = lambda _: UpstreamProtocol(worker)
