Add bench of the request path

Cause: the target of 0.68 ms added at p99 had no script behind it.

Change: bench/path.py drives the same paced load straight to an upstream and through one gateway, turn by turn, and prints medians with spread.

Ruled out: a load without pauses, since 64 connections would then measure the saturated stand-ins.

Some 1 in 200 requests are told not run, since a lone node's lease lapses for some milliseconds each second (watch of 1 s, lease of 2 s); the bench counts them and leaves them out.

--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,113 @@
+"""Latency and processor time that a gateway adds to a call.
+
+``.venv/bin/python bench/path.py`` prints the table of the section 'Request
+path' in docs/MEASUREMENTS.md. The same paced load goes straight to a
+stand-in upstream and through one gateway, turn by turn. The added latency is
+the difference of the quantiles; each figure is the median over the repeats,
+with the lowest and highest in brackets. Only answered requests count.
+"""
+
+import json
+from statistics import median
+
+from absl import app, flags
+
+from figdoor_standins.processes import Deployment
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer('repeats', 5, 'runs of each case')
+flags.DEFINE_integer('requests', 1200, 'requests of each run')
+flags.DEFINE_integer('rate', 500, 'requests per second')
+flags.DEFINE_list('connections', ['1', '16', '64'], 'connections of callers')
+flags.DEFINE_list('sizes', ['1024', '65536'], 'sizes of the answers in bytes')
+flags.DEFINE_boolean('json', False, 'print the raw figures too')
+
+WARM_UP = 200
+SLOTS = 200
+QUANTILES = ('p50_ms', 'p99_ms', 'p999_ms')
+ROUTES = """
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+work,  *,         /,           GET POST,   work, GET,   all,    5000,        20
+"""
+POOLS = f"""
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+*,    ,        z1,                 ,      ,            ,
+work, work,    z1,                 {SLOTS},  250,      {SLOTS},    1
+"""
+
+
+def run_once(deployment, port, connections):
+    """Return the quantiles of one run and the count of answers."""
+    caller = deployment.start_caller(
+        [port],
+        connections=connections,
+        requests=FLAGS.requests + WARM_UP,
+        rate=FLAGS.rate,
+        warm_up=WARM_UP,
+        seconds=60,
+    )
+    seen = caller.result()
+    told = list(seen['told'].values())
+    return seen, told.count('answered'), len(told)
+
+
+def measure(deployment, connections):
+    """Return the added figures of one repeat."""
+    upstream = deployment.upstreams[0]
+    gateway = deployment.gateways[0]
+    direct, _, _ = run_once(deployment, upstream.port, connections)
+    before_s = gateway.cpu_s
+    through, answered, sent = run_once(deployment, gateway.port, connections)
+    figures = {name: through[name] - direct[name] for name in QUANTILES}
+    figures['direct_p99_ms'] = direct['p99_ms']
+    figures['cpu_us'] = 1_000_000 * (gateway.cpu_s - before_s) / sent
+    figures['unanswered'] = sent - answered
+    return figures
+
+
+def describe(repeats, name, digits=2):
+    """Return median and spread of one figure."""
+    values = [one[name] for one in repeats]
+    low, high = min(values), max(values)
+    return (
+        f'{median(values):.{digits}f} ({low:.{digits}f} to {high:.{digits}f})'
+    )
+
+
+def main(_):
+    """Measure all cases and print the table."""
+    print(
+        '| answer | connections | p50 added, ms | p99 added, ms |'
+        ' p99.9 added, ms | direct p99, ms | processor, µs | not answered |',
+    )
+    print('|---|---|---|---|---|---|---|---|')
+    with Deployment() as deployment:
+        deployment.platform.publish(ROUTES, POOLS)
+        deployment.add_upstream(
+            'w1',
+            'work',
+            'z1',
+            service_ms=0,
+            slots=SLOTS,
+        )
+        deployment.add_gateway('g1', 'z1')
+        deployment.wait_ready()
+        for size in FLAGS.sizes:
+            deployment.upstreams[0].control(answer_bytes=size)
+            for connections in FLAGS.connections:
+                repeats = [
+                    measure(deployment, int(connections))
+                    for _ in range(FLAGS.repeats)
+                ]
+                cells = [size, connections]
+                cells.extend(describe(repeats, name) for name in QUANTILES)
+                cells.append(describe(repeats, 'direct_p99_ms'))
+                cells.append(describe(repeats, 'cpu_us', 0))
+                cells.append(str(sum(one['unanswered'] for one in repeats)))
+                print('|', ' | '.join(cells), '|', flush=True)
+                if FLAGS.json:
+                    print(json.dumps(repeats), flush=True)
+
+
+if __name__ == '__main__':
+    app.run(main)
