--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -60,7 +60,9 @@
     fail_fast: int = 0
     truncate: int = 0
     reset: int = 0
+    reset_reused: int = 0
     garbage: int = 0
+    garbage_after: int = 0
     answer_bytes: int = 0
     chunked: int = 0
     cold_limit: int = 0
@@ -138,6 +140,7 @@
         self.url = b''
         self.headers = {}
         self.body = bytearray()
+        self.requests = 0
 
     def connectionMade(self):
         self.transport.setTcpNoDelay(True)
@@ -171,7 +174,9 @@
 
     def on_message_complete(self):
         self.method = self.parser.get_method()
+        self.requests += 1
         path, _, query = self.url.decode('latin-1').partition('?')
+        self.is_control = path.startswith('/_')
         if path == '/_control':
             for name, text in parse_qsl(query):
                 kind = type(getattr(Behaviour(), name))
@@ -195,6 +200,8 @@
             self.worker.probes += 1
             self.worker.journal.write('probe')
             self.write(200, b'')
+        elif self.worker.behaviour.reset_reused and self.requests > 1:
+            self.transport.abortConnection()
         else:
             self.worker.take(self)
 
@@ -239,9 +246,11 @@
         if self.method == b'HEAD':
             body = b''
         rendered = b'\r\n'.join(lines) + b'\r\n\r\n'
-        if truncate and status == 200:
+        if truncate and status == 200 and not self.is_control:
             self.transport.write(rendered + body[: len(body) // 2])
             self.transport.loseConnection()
+        elif self.worker.behaviour.garbage_after and not self.is_control:
+            self.transport.write(rendered + body + b'\x00garbage\r\n\r\n')
         else:
             self.transport.write(rendered + body)
 
