--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -32,6 +32,7 @@
     PluginError,
     SettingsError,
 )
+from figdoor_kernel._event_bus import EventBus
 from figdoor_kernel._events import (
     AttemptEnded,
     AttemptSent,
@@ -40,7 +41,6 @@
     CallOpened,
     CallWaiting,
     ConnectionsClosed,
-    EventBus,
     NewsReceived,
     NewsWanted,
     NodeStateChanged,
--- a/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 from figdoor_kernel._calls import LoadReport
+from figdoor_kernel._event_bus import EventBus
 from figdoor_kernel._events import (
     AttemptEnded,
     AttemptStarted,
-    EventBus,
     ReportSeen,
     VmListChanged,
 )
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -4,7 +4,8 @@
 from random import Random
 from typing import Any
 
-from figdoor_kernel._events import EventBus, TablesAccepted
+from figdoor_kernel._event_bus import EventBus
+from figdoor_kernel._events import TablesAccepted
 from figdoor_kernel._fleet import Fleet
 from figdoor_kernel._ids import AvailabilityZoneName, NodeId
 from figdoor_kernel._protocols import Clock
