Add operating guide, generated reference and alarm rules

Cause: a colleague back from leave had no page that says how to change the tables, take an availability zone out, roll a release, or what an alarm, a refused table or an outcome means.

Change: docs/operating.md; docs/reference.md, which tools/reference.py writes from settings, columns, metrics and outcomes (make reference); examples/prometheus/figdoor.rules.yml. Columns of tables carry a description. Tests compare the reference with the code, the alarms with their explanations and metrics, and look for advice about each outcome and reason.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: venv test demo check format
+.PHONY: venv test demo check format reference
 
 venv: .venv/ready
 
@@ -15,5 +15,8 @@
 	tools/check
 
 format: venv
-	.venv/bin/ruff check --fix packages standins bench tests
-	.venv/bin/ruff format packages standins bench tests
+	.venv/bin/ruff check --fix packages standins bench tests tools
+	.venv/bin/ruff format packages standins bench tests tools
+
+reference: venv
+	.venv/bin/python tools/reference.py
--- a/packages/figdoor-tables/src/figdoor_tables/_columns.py
+++ b/packages/figdoor-tables/src/figdoor_tables/_columns.py
@@ -19,10 +19,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Column:
-    """One column of a table: its name and how to read its cells."""
+    """One column of a table: its name, how to read its cells, its meaning."""
 
     name: str
     read: Callable[[str], Cell]
+    description: str
 
 
 def read_name(cell: str) -> Cell:
@@ -125,23 +126,91 @@
 
 
 ROUTE_COLUMNS = (
-    Column('route', read_name),
-    Column('authority', read_authority),
-    Column('path_prefix', read_path_prefix),
-    Column('operations', read_operations),
-    Column('pool', read_name),
-    Column('idempotent', read_operation_list),
-    Column('tenant', read_tenant),
-    Column('deadline_ms', CountReader(1, 600_000)),
-    Column('retry_percent', DecimalReader(0, 100)),
+    Column(
+        'route',
+        read_name,
+        'name of the row',
+    ),
+    Column(
+        'authority',
+        read_authority,
+        'host name of the request without port, or * for any',
+    ),
+    Column(
+        'path_prefix',
+        read_path_prefix,
+        'start of the path in whole segments; the longest one wins',
+    ),
+    Column(
+        'operations',
+        read_operations,
+        'HTTP methods that the row takes, or * for any',
+    ),
+    Column(
+        'pool',
+        read_name,
+        'name of the row of the pools table that serves the requests',
+    ),
+    Column(
+        'idempotent',
+        read_operation_list,
+        'operations that may run more than once; all others run at most once',
+    ),
+    Column(
+        'tenant',
+        read_tenant,
+        'class under which requests are counted, or header:NAME to '
+        'read it from a header',
+    ),
+    Column(
+        'deadline_ms',
+        CountReader(1, 600_000),
+        'longest time for a request; a caller may ask for less',
+    ),
+    Column(
+        'retry_percent',
+        DecimalReader(0, 100),
+        'retries in percent of first attempts, with a burst of 10 for '
+        'each node',
+    ),
 )
 
 POOL_COLUMNS = (
-    Column('pool', read_pool_name),
-    Column('service', read_name),
-    Column('availability_zones', read_name_list),
-    Column('slots', CountReader(1, 10_000)),
-    Column('connections', CountReader(1, 100_000)),
-    Column('cold_limit', CountReader(1, 10_000)),
-    Column('probes_per_s', DecimalReader(0, 1000)),
+    Column(
+        'pool',
+        read_pool_name,
+        'name of the row; the row * bounds availability_zones of all '
+        'pools and leaves the other cells empty',
+    ),
+    Column(
+        'service',
+        read_name,
+        'service in the VM list whose VMs are the upstreams',
+    ),
+    Column(
+        'availability_zones',
+        read_name_list,
+        'availability zones in service; upstreams elsewhere get no new work',
+    ),
+    Column(
+        'slots',
+        CountReader(1, 10_000),
+        'requests that one upstream runs at once',
+    ),
+    Column(
+        'connections',
+        CountReader(1, 100_000),
+        'connections that one upstream accepts from the whole fleet',
+    ),
+    Column(
+        'cold_limit',
+        CountReader(1, 10_000),
+        'requests in flight from the whole fleet to an upstream in a '
+        'cold start',
+    ),
+    Column(
+        'probes_per_s',
+        DecimalReader(0, 1000),
+        'probes of one upstream per second from the whole fleet; 0 for none',
+    ),
 )
