--- a/tests/gateway/test_operator.py
+++ b/tests/gateway/test_operator.py
@@ -34,7 +34,7 @@
         provide(Extension.SERVICE, 'readiness', Readiness)
         self.readiness = self.node.part(Extension.SERVICE, 'readiness')
         self.in_force = InForce(self.node)
-        # A node that is alone puts the first tables in force at once.
+        # A node that is listed alone may put its first tables in force.
         give_vms(self.node, node_vm('n1'))
 
     def offer(self, revision, pools=POOLS):
