Let a replay repeat the random draws of a recorded node

Cause: heartbeats and permits are spread by random draws. A replay drew otherwise, did not know the tokens of recorded acknowledgements, and reported a lease that had run out.

Change: while a gateway records, its generator is a TraceRandom, whose seed is in the trace and which starts anew at each recorded event. An unknown chooser in a trace is an error of the trace, not a traceback.

Conclusion: a recording of a node whose lease depends on heartbeats at random times replays; with another seed it does not.

--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -1,6 +1,6 @@
 """Builds a node from settings and installed plug-ins."""
 
-from random import SystemRandom
+from random import Random, SystemRandom
 
 from figdoor_gateway.clock import BootClock
 from figdoor_gateway.settings import Settings
@@ -12,6 +12,7 @@
     Options,
     Registry,
 )
+from figdoor_traces import SEED_BITS, TraceRandom
 
 
 def build_node(settings: Settings, registry: Registry) -> Node:
@@ -20,7 +21,7 @@
         NodeId(settings.node_id),
         AvailabilityZoneName(settings.availability_zone),
         BootClock(),
-        SystemRandom(),
+        _make_random(settings),
         registry,
         Options(chooser=settings.chooser),
         settings,
@@ -32,3 +33,11 @@
     ):
         node.parts(extension)
     return node
+
+
+def _make_random(settings: Settings) -> Random:
+    """Return a generator whose draws a replay can repeat where one records."""
+    random = SystemRandom()
+    if settings.trace_file:
+        return TraceRandom(random.getrandbits(SEED_BITS))
+    return random
--- a/packages/figdoor-traces/src/figdoor_traces/__init__.py
+++ b/packages/figdoor-traces/src/figdoor_traces/__init__.py
@@ -18,14 +18,17 @@
 )
 from figdoor_traces._recording import Recorder
 from figdoor_traces._replaying import Verdict, replay
+from figdoor_traces._seeding import SEED_BITS, TraceRandom
 
 __all__ = (
     'FORMAT_VERSION',
+    'SEED_BITS',
     'Action',
     'Header',
     'Line',
     'Recorder',
     'Trace',
+    'TraceRandom',
     'Verdict',
     'decode',
     'encode',
--- a/packages/figdoor-traces/src/figdoor_traces/_guidance.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_guidance.py
@@ -1,10 +1,10 @@
 """Has the choices of a recorded trace made again among what is allowed."""
 
 from collections.abc import Mapping, Sequence
-from random import Random
 from typing import Any
 
 from figdoor_kernel import Chooser, RoutedCall, Upstream
+from figdoor_traces._seeding import TraceRandom
 
 
 class Guide:
@@ -49,24 +49,23 @@
         routed: RoutedCall,
         now_ms: float,
     ) -> Upstream:
-        """Return the named candidate."""
-        named = self._guide.find(candidates)
-        return named or self._real.choose(candidates, routed, now_ms)
+        """Return the named candidate; the real chooser draws as it did."""
+        chosen = self._real.choose(candidates, routed, now_ms)
+        return self._guide.find(candidates) or chosen
 
 
-class GuidedRandom(Random):
+class GuidedRandom(TraceRandom):
     """Seeded; picks the upstream to ask for a permit as the line names it."""
 
-    def __init__(self, seed: int, guide: Guide) -> None:
+    def __init__(self, origin: int, guide: Guide) -> None:
         """Start from the seed."""
-        super().__init__(seed)
+        super().__init__(origin)
         self._guide = guide
 
     def choice(self, seq: Any) -> Any:
         """Return the named upstream where it is one of ``seq``."""
-        picked = self._guide.find(seq)
-        if picked is None:
-            picked = super().choice(seq)
+        drawn = super().choice(seq)
+        picked = self._guide.find(seq) or drawn
         if isinstance(picked, Upstream):
             self._guide.asked.append(picked.upstream_id)
         return picked
--- a/packages/figdoor-traces/src/figdoor_traces/_nodes.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_nodes.py
@@ -1,8 +1,11 @@
 """A node without I/O, with the installed decision plug-ins."""
 
+from functools import partial
+
 from figdoor_kernel import Clock, Extension, Node, load_plugins
 from figdoor_traces._format import Header
 from figdoor_traces._guidance import Guide, GuidedRandom
+from figdoor_traces._seeding import TraceRandom, is_recorded
 
 DECISIONS = 'figdoor_decisions'
 
@@ -20,18 +23,26 @@
 
 
 def build_node(header: Header, clock: Clock, guide: Guide) -> Node:
-    """Return the node that a header describes, with all parts built."""
+    """Return the node that a header describes, with all parts built.
+
+    Services are built first, as in a gateway, so that parts that draw when
+    they are built draw the same.
+    """
+    random = GuidedRandom(header.seed, guide)
     node = Node(
         header.node,
         header.availability_zone,
         clock,
-        GuidedRandom(header.seed, guide),
+        random,
         load_plugins(DECISIONS),
         header.options,
     )
+    node.parts(Extension.SERVICE)
     for extension in node.registry.factories():
         if extension is not Extension.CHOOSER:
             node.parts(extension)
+    if header.recorded:
+        node.events.observe(partial(_restart, random))
     return node
 
 
@@ -39,3 +50,8 @@
     """Start all services, as a gateway does."""
     for service in node.parts(Extension.SERVICE):
         service.start()
+
+
+def _restart(random: TraceRandom, event: object) -> None:
+    if is_recorded(event):
+        random.restart()
--- a/packages/figdoor-traces/src/figdoor_traces/_recording.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_recording.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import fields, is_dataclass, replace
+from dataclasses import fields, replace
 from typing import Any
 
 from figdoor_kernel import (
@@ -20,42 +20,24 @@
     DeathSeen,
     Fingerprint,
     Flooded,
-    NewsReceived,
-    NewsWanted,
     Node,
     PeerMessageReceived,
-    PeerMessageWanted,
-    ProbeWanted,
-    RevisionBehind,
     RoutedCall,
-    TablesAccepted,
     TablesOffered,
-    TablesRefused,
-    UpstreamStateChanged,
     VmList,
     VmListChanged,
 )
 from figdoor_traces._codec import KIND, encode
 from figdoor_traces._format import FORMAT_VERSION, Action
+from figdoor_traces._seeding import TraceRandom, is_recorded
 from figdoor_traces._writing import BoundedWriter
 
-# Events that the decisions publish themselves when the trace is replayed.
-_DERIVED = (
-    NewsReceived,
-    NewsWanted,
-    PeerMessageWanted,
-    ProbeWanted,
-    RevisionBehind,
-    TablesAccepted,
-    TablesRefused,
-    UpstreamStateChanged,
-)
-
 
 class Recorder:
     """Observes a node from its start and writes one line for each event.
 
-    It stops for good when the trace would grow beyond ``max_bytes``.
+    It stops for good when the trace would grow beyond ``max_bytes``. Draws
+    can be repeated where the node's generator is a ``TraceRandom``.
     """
 
     def __init__(
@@ -88,6 +70,7 @@
                 'trace': FORMAT_VERSION,
                 'node': node.node_id,
                 'availability_zone': node.availability_zone,
+                'seed': getattr(node.random, 'origin', 0),
                 'recorded': True,
                 'options': encode(node.options),
             },
@@ -95,14 +78,14 @@
         node.events.observe(self._on_event)
 
     def _on_event(self, event: object) -> None:
-        if self._writer.is_stopped:
+        if self._writer.is_stopped or not is_recorded(event):
             return
+        if isinstance(self._node.random, TraceRandom):
+            self._node.random.restart()
         handler = self._handlers.get(type(event), self._on_other)
         handler(event)
 
-    def _on_other(self, event: object) -> None:
-        if isinstance(event, _DERIVED) or not is_dataclass(event):
-            return
+    def _on_other(self, event: Any) -> None:
         encoded = encode(event)
         encoded['event'] = encoded.pop(KIND)
         self._note(Action.EVENT, _time_of(event, self._node), encoded)
@@ -191,14 +174,13 @@
         self._note(Action.END, event.now_ms, told)
 
     def _on_closed(self, event: CallClosed) -> None:
-        if event.routed is None:
-            return
+        call = self._calls.pop(id(event.routed), '')
         expected = {
             'outcome': event.outcome.value,
             'refusal': event.refusal.value if event.refusal else None,
         }
-        self._state(Action.CLOSED, event.routed, event.now_ms, expected)
-        self._calls.pop(id(event.routed), None)
+        told = {'call': call, 'expect': expected}
+        self._note(Action.CLOSED, event.now_ms, told)
 
     def _state(
         self,
--- a/packages/figdoor-traces/src/figdoor_traces/_replaying.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_replaying.py
@@ -11,6 +11,7 @@
     Exchange,
     Finding,
     Place,
+    PluginError,
     Refusal,
 )
 from figdoor_traces._codec import decode
@@ -39,7 +40,11 @@
 def replay(trace: Trace) -> Verdict:
     """Return which statements of the trace hold."""
     verdict = Verdict()
-    replaying = _Replaying(trace)
+    try:
+        replaying = _Replaying(trace)
+    except PluginError as error:
+        verdict.errors.append(Finding(Place(trace.source, 1), str(error)))
+        return verdict
     for line in trace.lines:
         try:
             found = replaying.follow(line)
--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -1,28 +1,42 @@
 """Recordings: they replay, are bounded, and hold nothing of the callers."""
 
 import json
+from functools import partial
 
 import pytest
 from support import (
     POOLS,
     ROUTES,
+    ManualClock,
     confirm,
     give_vms,
+    io_free_registry,
     make_call,
     make_node,
+    node_vm,
     upstream_vm,
 )
 
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
+    AvailabilityZoneName,
     Dispatcher,
+    Extension,
+    Heartbeat,
+    HeartbeatAck,
+    Node,
+    NodeId,
+    Options,
+    PeerMessageReceived,
+    PeerMessageWanted,
     Revision,
     Send,
     TablesOffered,
+    Tick,
 )
 from figdoor_standins.processes import Deployment, http
-from figdoor_traces import Recorder, read_trace, replay
+from figdoor_traces import Recorder, TraceRandom, read_trace, replay
 
 SECRET = 'hunter2'
 
@@ -101,6 +115,74 @@
         assert not replay(read_trace('t', text).unwrap()).mismatches
 
 
+class TestTraceRandom:
+    def test_draws_after_an_event_do_not_depend_on_draws_before_it(self):
+        one, other = TraceRandom(5), TraceRandom(5)
+        other.random()
+        assert one.random() != other.random()
+        one.restart()
+        other.restart()
+        first = one.random()
+        assert first == other.random()
+        one.restart()
+        assert one.random() != first
+
+
+class TestRecorderOfRandomTiming:
+    """A lease that only a neighbour's acknowledgements keep alive."""
+
+    def record(self, origin):
+        clock = ManualClock()
+        node = Node(
+            NodeId('n1'),
+            AvailabilityZoneName('z1'),
+            clock,
+            TraceRandom(origin),
+            io_free_registry(),
+            Options(chooser='power-of-two'),
+        )
+        node.parts(Extension.SERVICE)
+        written = []
+        Recorder(node, written.append, 1_000_000)
+        node.events.subscribe(PeerMessageWanted, partial(self.answer, node))
+        dispatcher = Dispatcher(node)
+        offer = TablesOffered(Revision(1), ROUTES, POOLS, 0)
+        give_vms(node, node_vm('n1'), node_vm('n2'), upstream_vm('w1'))
+        node.events.publish(offer)
+        for _ in range(100):
+            clock.advance_ms(50)
+            node.events.publish(Tick(clock.now_ms()))
+            # Parts with I/O draw too, at any time.
+            node.random.random()
+            exchange = dispatcher.open(make_call(), clock.now_ms(), str)
+            exchange.next_step(clock.now_ms())
+            exchange.abandon(clock.now_ms())
+        return ''.join(written)
+
+    def answer(self, node, wanted):
+        if isinstance(wanted.message, Heartbeat):
+            ack = HeartbeatAck(wanted.message.token_ms, Revision(1))
+            now_ms = node.clock.now_ms()
+            node.clock.reactor.callLater(
+                0.001,
+                lambda: node.events.publish(
+                    PeerMessageReceived(wanted.target, ack, now_ms + 1),
+                ),
+            )
+
+    @pytest.mark.parametrize('origin', range(3))
+    def test_random_times_of_heartbeats_are_repeated(self, origin):
+        text = self.record(origin)
+        verdict = replay(read_trace('t', text).unwrap())
+        assert not verdict.errors
+        assert not verdict.mismatches
+        assert '"step":"send"' in text
+
+    def test_other_seed_makes_other_times_and_is_noticed(self):
+        text = self.record(1).replace('"seed":1,', '"seed":2,')
+        assert replay(read_trace('t', text).unwrap()).mismatches
+
+
 @pytest.mark.processes
 class TestTraceFile:
     def test_gateway_records_a_trace_that_replays(self, tmp_path):
--- a/tests/traces/test_replay.py
+++ b/tests/traces/test_replay.py
@@ -60,6 +60,11 @@
         ends[0]['state'] = 'unsent-failure'
         assert 'cannot happen' in str(replay_lines(lines).mismatches[0])
 
+    def test_unknown_chooser_is_told_and_no_traceback(self):
+        lines = lines_of('lost-non-idempotent')
+        lines[0]['options']['chooser'] = 'none-such'
+        assert "'none-such'" in str(replay_lines(lines).errors[0])
+
     def test_same_seed_chooses_the_same_upstreams_again(self):
         lines = lines_of('retry-budget-spent')
         for line in lines:
