Add peer transport: UDP messages and table synchronisation over TCP

Cause: decisions had no way to reach other processes.

Differences by rows are in figdoor_tables. The peer transport starts first and stops last, so that farewells leave. Messages, bytes and dropped messages are counted for Prometheus.

Conclusion: every message type survives the round trip; rubbish and damaged messages are counted and dropped.

--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -27,6 +27,7 @@
     )
     for extension in (
         Extension.SERVICE,
+        Extension.PEER_TRANSPORT,
         Extension.FRONT_END,
         Extension.OPERATOR_PAGE,
     ):
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -81,10 +81,15 @@
         return longest_ms + STOP_MARGIN_MS
 
     def _running_parts(self) -> tuple[Service, ...]:
+        """Return all parts in the order of their start.
+
+        The peer transport stops last, since services say farewell when they
+        stop.
+        """
         node = self._node
         return (
-            *node.parts(Extension.SERVICE),
             *node.parts(Extension.PEER_TRANSPORT),
+            *node.parts(Extension.SERVICE),
             *node.parts(Extension.CONFIG_SOURCE),
             *node.parts(Extension.VM_LIST_SOURCE),
             *node.parts(Extension.OPERATOR_PAGE),
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -66,6 +66,11 @@
     def stop(self) -> None:
         """Need no stop."""
 
+    @property
+    def collectors(self) -> CollectorRegistry:
+        """Where other parts register metrics of their own."""
+        return self._collectors
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         tables = self._node.tables
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
@@ -0,0 +1,143 @@
+"""Datagrams: one message of the kernel and its sender, as Cap'n Proto.
+
+The schema has a struct for each message type with the same fields, so the
+types themselves say how they are encoded.
+"""
+
+import math
+from dataclasses import dataclass, fields
+from typing import Any, get_args, get_type_hints
+
+import capnp
+
+from figdoor_gateway.peers._schema import MalformedMessage, schema
+from figdoor_kernel import News, NodeId, PeerMessage
+
+MAX_DATAGRAM_BYTES = 1200
+MAX_TEXT_LENGTH = 128
+MAX_NUMBERS = 128
+# 16 KB unpacked: packing saves zeros only, of which a message has few.
+_MAX_WORDS = 2048
+_NEWS_FIELD = 'news'
+
+
+@dataclass(frozen=True, slots=True)
+class _Field:
+    """One field: its name here and in the schema, and how to check it."""
+
+    name: str
+    schema_name: str
+    kind: type
+
+
+@dataclass(frozen=True, slots=True)
+class _Layout:
+    """How one message type is laid out."""
+
+    message_type: type
+    arm: str
+    fields: tuple[_Field, ...]
+
+
+def encode(sender: NodeId, message: PeerMessage) -> bytes:
+    """Return the datagram for a message."""
+    packet = schema.Packet.new_message()
+    packet.sender = sender
+    _fill(packet, message)
+    encoded: bytes = packet.to_bytes_packed()
+    return encoded
+
+
+def decode(datagram: bytes) -> tuple[NodeId, PeerMessage]:
+    """Return sender and message; raises ``MalformedMessage``."""
+    if len(datagram) > MAX_DATAGRAM_BYTES:
+        raise MalformedMessage('datagram is too long')
+    try:
+        return _decode(datagram)
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def _decode(datagram: bytes) -> tuple[NodeId, PeerMessage]:
+    packet = schema.Packet.from_bytes_packed(
+        datagram,
+        traversal_limit_in_words=_MAX_WORDS,
+    )
+    return NodeId(checked_text(packet.sender)), _read(packet)
+
+
+def checked_text(text: str) -> str:
+    """Return a short text; raises ``MalformedMessage`` for a long one."""
+    if len(text) > MAX_TEXT_LENGTH:
+        raise MalformedMessage('text is too long')
+    return text
+
+
+def _fill(union: Any, message: Any) -> None:
+    layout = _LAYOUTS[type(message)]
+    struct = union.init(layout.arm)
+    for field in layout.fields:
+        content = getattr(message, field.name)
+        if field.name == _NEWS_FIELD:
+            _fill(struct.init(_NEWS_FIELD), content)
+        elif field.kind is tuple:
+            setattr(struct, field.schema_name, list(content))
+        else:
+            setattr(struct, field.schema_name, content)
+
+
+def _read(union: Any) -> Any:
+    layout = _BY_ARM.get(str(union.which()))
+    if layout is None:
+        raise MalformedMessage('unknown kind of message')
+    struct = getattr(union, layout.arm)
+    decoded = [
+        _read_field(getattr(struct, field.schema_name), field.kind)
+        for field in layout.fields
+    ]
+    return layout.message_type(*decoded)
+
+
+def _read_field(raw: Any, kind: type) -> Any:
+    if kind is str:
+        return checked_text(raw)
+    if kind is float and not math.isfinite(raw):
+        raise MalformedMessage('number is not finite')
+    if kind is tuple:
+        if len(raw) > MAX_NUMBERS:
+            raise MalformedMessage('list is too long')
+        return tuple(raw)
+    return _read(raw) if kind is object else raw
+
+
+def _layout(message_type: type) -> _Layout:
+    hints = get_type_hints(message_type)
+    return _Layout(
+        message_type,
+        _camel(message_type.__name__[0].lower() + message_type.__name__[1:]),
+        tuple(
+            _Field(field.name, _camel(field.name), _kind(hints[field.name]))
+            for field in fields(message_type)
+        ),
+    )
+
+
+def _kind(hint: Any) -> type:
+    """Return the plain type behind a field's type."""
+    if hint == News:
+        return object
+    origin = getattr(hint, '__origin__', None)
+    plain: type = origin or getattr(hint, '__supertype__', hint)
+    return plain
+
+
+def _camel(name: str) -> str:
+    first, *rest = name.split('_')
+    return first + ''.join(word.capitalize() for word in rest)
+
+
+_LAYOUTS = {
+    message_type: _layout(message_type)
+    for message_type in (*get_args(PeerMessage), *get_args(News))
+}
+_BY_ARM = {layout.arm: layout for layout in _LAYOUTS.values()}
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_datagrams.py
@@ -0,0 +1,87 @@
+"""UDP between nodes."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from figdoor_gateway.peers._addresses import Address, Addresses
+from figdoor_gateway.peers._codec import (
+    MAX_DATAGRAM_BYTES,
+    decode,
+    encode,
+)
+from figdoor_gateway.peers._counters import RECEIVED, SENT, PeerCounters
+from figdoor_gateway.peers._schema import MalformedMessage
+from figdoor_kernel import (
+    Heartbeat,
+    Node,
+    PeerMessageReceived,
+    PeerMessageWanted,
+)
+
+
+class Datagrams(DatagramProtocol):
+    """Sends wanted messages and publishes those that arrive.
+
+    A datagram counts only if it came from the address that the VM list gives
+    for its sender.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        addresses: Addresses,
+        counters: PeerCounters,
+        on_stranger: Callable[[Address], None],
+    ) -> None:
+        """Send nothing before the port is open.
+
+        ``on_stranger`` hears of heartbeats that arrive before this node has
+        ever seen a VM list.
+        """
+        self._node = node
+        self._addresses = addresses
+        self._counters = counters
+        self._on_stranger = on_stranger
+        node.events.subscribe(PeerMessageWanted, self._on_wanted)
+
+    def datagramReceived(  # noqa: N802
+        self,
+        datagram: bytes,
+        addr: Address,
+    ) -> None:
+        """Check and publish one message."""
+        try:
+            sender, message = decode(datagram)
+        except MalformedMessage:
+            self._counters.drop('malformed')
+            return
+        if self._addresses.is_of(sender, addr[:2]):
+            kind = type(message).__name__
+            self._counters.count(RECEIVED, kind, len(datagram))
+            now_ms = self._node.clock.now_ms()
+            received = PeerMessageReceived(sender, message, now_ms)
+            self._node.events.publish(received)
+            return
+        self._counters.drop('unlisted-sender')
+        if not self._addresses.has_list and isinstance(message, Heartbeat):
+            self._on_stranger(addr[:2])
+
+    def _on_wanted(self, event: PeerMessageWanted) -> None:
+        address = self._addresses.of(event.target)
+        transport: Any = self.transport
+        if transport is None or address is None:
+            self._counters.drop('unlisted-target')
+            return
+        datagram = encode(self._node.node_id, event.message)
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._counters.drop('oversized')
+            return
+        try:
+            transport.write(datagram, address)
+        except OSError:
+            self._counters.drop('unsent')
+            return
+        kind = type(event.message).__name__
+        self._counters.count(SENT, kind, len(datagram))
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_frames.py
@@ -0,0 +1,177 @@
+"""Frames of table synchronisation over TCP, as Cap'n Proto."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import capnp
+
+from figdoor_gateway.peers._codec import checked_text
+from figdoor_gateway.peers._schema import MalformedMessage, schema
+from figdoor_kernel import (
+    AvailabilityZoneName,
+    NodeId,
+    Revision,
+    ServiceName,
+    Vm,
+    VmId,
+    VmState,
+)
+from figdoor_tables import Change
+
+MAX_REQUEST_BYTES = 1024
+# Two tables of 1 MB and a VM list of 6,700 rows.
+MAX_ANSWER_BYTES = 4_000_000
+_MAX_ANSWER_WORDS = 2_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class SyncRequest:
+    """A question for what was accepted after a revision."""
+
+    sender: NodeId
+    after: Revision
+    wants_snapshot: bool = False
+    wants_vm_list: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """What one accepted revision changed in both tables."""
+
+    routes: tuple[Change, ...]
+    pools: tuple[Change, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SyncAnswer:
+    """Steps from the revision asked for, or a snapshot; or neither.
+
+    ``checksum`` is over the texts that result.
+    """
+
+    revision: Revision
+    checksum: int = 0
+    steps: tuple[Step, ...] = ()
+    is_snapshot: bool = False
+    routes: str = ''
+    pools: str = ''
+    vms: tuple[Vm, ...] = ()
+
+
+def encode_request(request: SyncRequest) -> bytes:
+    """Return the frame of a question."""
+    frame = schema.SyncRequest.new_message(
+        sender=request.sender,
+        after=request.after,
+        wantsSnapshot=request.wants_snapshot,
+        wantsVmList=request.wants_vm_list,
+    )
+    encoded: bytes = frame.to_bytes_packed()
+    return encoded
+
+
+def decode_request(frame: bytes) -> SyncRequest:
+    """Return the question; raises ``MalformedMessage``."""
+    try:
+        return _decode_request(schema.SyncRequest.from_bytes_packed(frame))
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def encode_answer(answer: SyncAnswer) -> bytes:
+    """Return the frame of an answer."""
+    frame = schema.SyncAnswer.new_message(
+        revision=answer.revision,
+        checksum=answer.checksum,
+        steps=[
+            {
+                'routes': _encode_changes(step.routes),
+                'pools': _encode_changes(step.pools),
+            }
+            for step in answer.steps
+        ],
+        isSnapshot=answer.is_snapshot,
+        routes=answer.routes,
+        pools=answer.pools,
+        vms=[_encode_vm(vm) for vm in answer.vms],
+    )
+    encoded: bytes = frame.to_bytes_packed()
+    return encoded
+
+
+def decode_answer(frame: bytes) -> SyncAnswer:
+    """Return the answer; raises ``MalformedMessage``."""
+    try:
+        return _decode_answer(
+            schema.SyncAnswer.from_bytes_packed(
+                frame,
+                traversal_limit_in_words=_MAX_ANSWER_WORDS,
+            ),
+        )
+    except (capnp.KjException, ValueError) as error:
+        raise MalformedMessage(str(error)) from error
+
+
+def _decode_request(frame: Any) -> SyncRequest:
+    return SyncRequest(
+        NodeId(checked_text(frame.sender)),
+        Revision(frame.after),
+        frame.wantsSnapshot,
+        frame.wantsVmList,
+    )
+
+
+def _decode_answer(frame: Any) -> SyncAnswer:
+    return SyncAnswer(
+        Revision(frame.revision),
+        frame.checksum,
+        tuple(
+            Step(_decode_changes(step.routes), _decode_changes(step.pools))
+            for step in frame.steps
+        ),
+        frame.isSnapshot,
+        frame.routes,
+        frame.pools,
+        tuple(_decode_vm(row) for row in frame.vms),
+    )
+
+
+def _encode_changes(changes: Sequence[Change]) -> list[dict[str, Any]]:
+    return [
+        {
+            'start': change.start,
+            'removed': change.removed,
+            'added': list(change.added),
+        }
+        for change in changes
+    ]
+
+
+def _decode_changes(changes: Any) -> tuple[Change, ...]:
+    return tuple(
+        Change(change.start, change.removed, tuple(change.added))
+        for change in changes
+    )
+
+
+def _encode_vm(vm: Vm) -> dict[str, Any]:
+    return {
+        'id': vm.vm_id,
+        'service': vm.service,
+        'availabilityZone': vm.availability_zone,
+        'host': vm.host,
+        'port': vm.port,
+        'state': vm.state.value,
+    }
+
+
+def _decode_vm(row: Any) -> Vm:
+    return Vm(
+        VmId(checked_text(row.id)),
+        ServiceName(checked_text(row.service)),
+        AvailabilityZoneName(checked_text(row.availabilityZone)),
+        checked_text(row.host),
+        row.port,
+        VmState(row.state),
+    )
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_server.py
@@ -0,0 +1,111 @@
+"""Answers peers that are behind, over TCP."""
+
+from dataclasses import replace
+from typing import Any
+
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.basic import Int32StringReceiver
+
+from figdoor_gateway.loop import Timer, call_later, cancel
+from figdoor_gateway.peers._addresses import Addresses
+from figdoor_gateway.peers._counters import RECEIVED, SENT, PeerCounters
+from figdoor_gateway.peers._frames import (
+    MAX_REQUEST_BYTES,
+    SyncRequest,
+    decode_request,
+    encode_answer,
+)
+from figdoor_gateway.peers._history import History
+from figdoor_gateway.peers._schema import MalformedMessage
+from figdoor_kernel import Node
+
+TIMEOUT_MS = 2000
+# A node has about 20 edges at 640 nodes, and an answer may have 4 MB.
+MAX_CONNECTIONS = 16
+
+
+class _Answering(Int32StringReceiver):
+    """One connection: one question, one answer."""
+
+    MAX_LENGTH = MAX_REQUEST_BYTES
+
+    def __init__(self, server: 'SyncServer') -> None:
+        self._server = server
+        self._timer: Timer | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Refuse strangers and more connections than memory allows."""
+        transport: Any = self.transport
+        self._timer = call_later(TIMEOUT_MS, transport.abortConnection)
+        if not self._server.admit(transport.getPeer().host):
+            transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Free the connection's place."""
+        cancel(self._timer)
+        self._server.open_connections -= 1
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Answer the question and close once the answer is written."""
+        transport: Any = self.transport
+        answer = self._server.answer(string)
+        if answer is None:
+            transport.abortConnection()
+            return
+        self.sendString(answer)
+        transport.loseConnection()
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Count a frame that is too long to be a question."""
+        self._server.counters.drop('malformed')
+        super().lengthLimitExceeded(length)
+
+
+class SyncServer(ServerFactory):
+    """Makes the protocols and knows the answers."""
+
+    noisy = False
+
+    def __init__(
+        self,
+        node: Node,
+        addresses: Addresses,
+        counters: PeerCounters,
+    ) -> None:
+        """Begin to record the changes of the tables."""
+        self.counters = counters
+        self.open_connections = 0
+        self._node = node
+        self._addresses = addresses
+        self._history = History(node)
+
+    def buildProtocol(self, addr: object) -> _Answering:  # noqa: N802
+        """Take a connection."""
+        self.open_connections += 1
+        return _Answering(self)
+
+    def admit(self, host: str) -> bool:
+        """Return whether to answer on one more connection from there."""
+        if not self._addresses.has_host(host):
+            self.counters.drop('unlisted-sender')
+            return False
+        if self.open_connections > MAX_CONNECTIONS:
+            self.counters.drop('too-many-connections')
+            return False
+        return True
+
+    def answer(self, frame: bytes) -> bytes | None:
+        """Return the frame of the answer, ``None`` for a malformed one."""
+        try:
+            request = decode_request(frame)
+        except MalformedMessage:
+            self.counters.drop('malformed')
+            return None
+        self.counters.count(RECEIVED, SyncRequest.__name__, len(frame))
+        answer = self._history.answer(request)
+        if request.wants_vm_list:
+            vms = self._node.fleet.vm_list.vms
+            answer = replace(answer, vms=vms)
+        encoded = encode_answer(answer)
+        self.counters.count(SENT, type(answer).__name__, len(encoded))
+        return encoded
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -0,0 +1,140 @@
+# Messages between figdoor nodes. Each struct mirrors the message type of the
+# same name in figdoor_kernel, with the same fields. Numbers are never reused.
+
+@0xb3f1c2d47a9e6058;
+
+struct Packet {
+  # One UDP datagram.
+  sender @0 :Text;
+  union {
+    heartbeat @1 :Heartbeat;
+    heartbeatAck @2 :HeartbeatAck;
+    newsRequest @3 :NewsRequest;
+    farewell @4 :Farewell;
+    permitRequest @5 :PermitRequest;
+    permitAnswer @6 :PermitAnswer;
+    permitReturn @7 :PermitReturn;
+    flooded @8 :Flooded;
+  }
+}
+
+struct Heartbeat {
+  tokenMs @0 :Float64;
+  revision @1 :UInt64;
+  recent @2 :List(UInt64);
+}
+
+struct HeartbeatAck {
+  tokenMs @0 :Float64;
+  revision @1 :UInt64;
+}
+
+struct NewsRequest {
+  sequences @0 :List(UInt64);
+}
+
+struct Farewell {
+}
+
+struct PermitRequest {
+  upstream @0 :Text;
+  tokenMs @1 :Float64;
+  deadlineInMs @2 :Float64;
+}
+
+struct PermitAnswer {
+  upstream @0 :Text;
+  tokenMs @1 :Float64;
+  granted @2 :Bool;
+  warmInstance @3 :Text;
+}
+
+struct PermitReturn {
+  upstream @0 :Text;
+  tokenMs @1 :Float64;
+  succeeded @2 :Bool;
+  instance @3 :Text;
+}
+
+struct Flooded {
+  origin @0 :Text;
+  sequence @1 :UInt64;
+  news @2 :News;
+}
+
+struct News {
+  union {
+    upstreamTurnedCold @0 :UpstreamTurnedCold;
+    upstreamWarm @1 :UpstreamWarm;
+    upstreamDraining @2 :UpstreamDraining;
+    deathSeen @3 :DeathSeen;
+    revisionAccepted @4 :RevisionAccepted;
+  }
+}
+
+struct UpstreamTurnedCold {
+  upstream @0 :Text;
+  instance @1 :Text;
+}
+
+struct UpstreamWarm {
+  upstream @0 :Text;
+  instance @1 :Text;
+}
+
+struct UpstreamDraining {
+  upstream @0 :Text;
+  instance @1 :Text;
+}
+
+struct DeathSeen {
+  route @0 :Text;
+  fingerprint @1 :UInt64;
+  upstream @2 :Text;
+  instance @3 :Text;
+}
+
+struct RevisionAccepted {
+  revision @0 :UInt64;
+}
+
+struct SyncRequest {
+  # The only frame that a node sends on a TCP connection that it opened.
+  sender @0 :Text;
+  after @1 :UInt64;
+  wantsSnapshot @2 :Bool;
+  wantsVmList @3 :Bool;
+}
+
+struct SyncAnswer {
+  # The only frame of the answer. Where the asking node has the newest tables,
+  # revision is the one that it named and there are neither steps nor texts.
+  revision @0 :UInt64;
+  checksum @1 :UInt64;
+  steps @2 :List(Step);
+  isSnapshot @3 :Bool;
+  routes @4 :Text;
+  pools @5 :Text;
+  vms @6 :List(VmRow);
+}
+
+struct Step {
+  # What one accepted revision changed.
+  routes @0 :List(Change);
+  pools @1 :List(Change);
+}
+
+struct Change {
+  start @0 :UInt32;
+  removed @1 :UInt32;
+  added @2 :List(Text);
+}
+
+struct VmRow {
+  id @0 :Text;
+  service @1 :Text;
+  availabilityZone @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+  state @5 :Text;
+}
--- a/packages/figdoor-tables/src/figdoor_tables/__init__.py
+++ b/packages/figdoor-tables/src/figdoor_tables/__init__.py
@@ -1,6 +1,7 @@
 """Reading and checking of the two tables that operators write."""
 
 from figdoor_tables._columns import POOL_COLUMNS, ROUTE_COLUMNS, Column
+from figdoor_tables._differences import Change, apply_changes, difference
 from figdoor_tables._reading import (
     POOLS_TABLE,
     ROUTES_TABLE,
@@ -13,7 +14,10 @@
     'POOL_COLUMNS',
     'ROUTES_TABLE',
     'ROUTE_COLUMNS',
+    'Change',
     'Column',
     'ReadTables',
+    'apply_changes',
+    'difference',
     'read_tables',
 )
--- /dev/null
+++ b/tests/gateway/peers/test_codec.py
@@ -0,0 +1,129 @@
+"""Datagrams and frames: round trips, and rubbish from the network."""
+
+from dataclasses import fields
+from typing import get_args, get_type_hints
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from support import node_vm, upstream_vm
+
+from figdoor_gateway.peers import MalformedMessage, decode, encode
+from figdoor_gateway.peers._codec import MAX_DATAGRAM_BYTES
+from figdoor_gateway.peers._frames import (
+    Step,
+    SyncAnswer,
+    SyncRequest,
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+from figdoor_kernel import Heartbeat, News, PeerMessage
+from figdoor_tables import Change
+
+names = st.text(max_size=40)
+counts = st.integers(0, 2**64 - 1)
+BY_KIND = {
+    str: names,
+    int: counts,
+    float: st.floats(allow_nan=False, allow_infinity=False),
+    bool: st.booleans(),
+    tuple: st.lists(counts, max_size=96).map(tuple),
+}
+
+
+def messages_of(message_type):
+    """Return a strategy from the fields, so that new types are covered."""
+    hints = get_type_hints(message_type)
+    parts = []
+    for field in fields(message_type):
+        hint = hints[field.name]
+        if hint == News:
+            parts.append(st.one_of(*map(messages_of, get_args(News))))
+            continue
+        plain = getattr(hint, '__supertype__', hint)
+        parts.append(BY_KIND[getattr(plain, '__origin__', plain)])
+    return st.builds(message_type, *parts)
+
+
+any_message = st.one_of(*map(messages_of, get_args(PeerMessage)))
+
+
+class TestDatagrams:
+    @pytest.mark.parametrize('message_type', get_args(PeerMessage))
+    def test_every_type_survives_the_round_trip(self, message_type):
+        @given(names, messages_of(message_type))
+        def check(sender, message):
+            datagram = encode(sender, message)
+            assert len(datagram) <= MAX_DATAGRAM_BYTES
+            assert decode(datagram) == (sender, message)
+
+        check()
+
+    def test_ordinary_heartbeat_is_small(self):
+        heartbeat = Heartbeat(123456.5, 17_000)
+        assert len(encode('entry-123', heartbeat)) <= 40
+
+    @given(st.binary(max_size=MAX_DATAGRAM_BYTES + 100))
+    def test_rubbish_is_malformed(self, datagram):
+        self.expect_message_or_malformed(datagram)
+
+    @given(any_message, st.data())
+    def test_damaged_message_is_malformed_or_a_message(self, message, data):
+        damaged = bytearray(encode('n1', message))
+        for _ in range(data.draw(st.integers(1, 4))):
+            place = data.draw(st.integers(0, len(damaged) - 1))
+            damaged[place] = data.draw(st.integers(0, 255))
+        cut = data.draw(st.integers(0, len(damaged)))
+        self.expect_message_or_malformed(bytes(damaged[:cut]))
+        self.expect_message_or_malformed(bytes(damaged))
+
+    def expect_message_or_malformed(self, datagram):
+        try:
+            sender, message = decode(datagram)
+        except MalformedMessage:
+            return
+        assert isinstance(sender, str)
+        assert isinstance(message, get_args(PeerMessage))
+
+    @pytest.mark.parametrize(
+        'message',
+        [
+            Heartbeat(float('nan'), 1),
+            Heartbeat(1, 1, tuple(range(129))),
+        ],
+    )
+    def test_message_out_of_bounds_is_malformed(self, message):
+        with pytest.raises(MalformedMessage):
+            decode(encode('n1', message))
+
+    def test_oversized_datagram_is_malformed(self):
+        with pytest.raises(MalformedMessage):
+            decode(encode('n' * 2000, Heartbeat(1, 1)))
+
+
+class TestFrames:
+    def test_request_survives_the_round_trip(self):
+        request = SyncRequest('n1', 7, wants_vm_list=True)
+        assert decode_request(encode_request(request)) == request
+
+    def test_answer_survives_the_round_trip(self):
+        answer = SyncAnswer(
+            9,
+            2**64 - 1,
+            (Step((Change(1, 2, ('é,1', '')),), ()),),
+            is_snapshot=True,
+            routes='r\n',
+            pools='p',
+            vms=(node_vm('n1'), upstream_vm('w1', 'z2')),
+        )
+        assert decode_answer(encode_answer(answer)) == answer
+
+    @given(st.binary(max_size=300))
+    def test_rubbish_is_malformed(self, frame):
+        for read in (decode_request, decode_answer):
+            try:
+                read(frame)
+            except MalformedMessage:
+                pass
--- /dev/null
+++ b/tests/gateway/peers/test_transport.py
@@ -0,0 +1,229 @@
+"""Table synchronisation and source checks, without sockets."""
+
+from types import SimpleNamespace
+
+import pytest
+from prometheus_client import CollectorRegistry
+from support import (
+    POOLS,
+    ROUTES,
+    Recorder,
+    give_tables,
+    give_vms,
+    make_node,
+    node_vm,
+    tables,
+)
+from twisted.internet.testing import StringTransport
+
+from figdoor_gateway.peers import encode
+from figdoor_gateway.peers._addresses import Addresses
+from figdoor_gateway.peers._codec import MAX_DATAGRAM_BYTES
+from figdoor_gateway.peers._counters import PeerCounters
+from figdoor_gateway.peers._datagrams import Datagrams
+from figdoor_gateway.peers._frames import (
+    MAX_REQUEST_BYTES,
+    SyncRequest,
+    decode_answer,
+    encode_request,
+)
+from figdoor_gateway.peers._history import (
+    MAX_STEPS,
+    DoesNotFit,
+    History,
+    texts_from,
+)
+from figdoor_gateway.peers._sync_server import MAX_CONNECTIONS, SyncServer
+from figdoor_kernel import (
+    Flooded,
+    Heartbeat,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    UpstreamWarm,
+)
+
+PEER = ('127.0.0.1', 1)
+STRANGER = ('127.0.0.1', 2)
+
+
+def pools_at(revision):
+    return POOLS.replace('250', str(250 + revision))
+
+
+def dropped(collectors, reason):
+    labels = {'reason': reason}
+    return collectors.get_sample_value('figdoor_peer_dropped_total', labels)
+
+
+class TestDatagrams:
+    def setup_method(self):
+        self.node = make_node('n0')
+        self.collectors = CollectorRegistry()
+        self.strangers = []
+        self.datagrams = Datagrams(
+            self.node,
+            Addresses(self.node),
+            PeerCounters(self.collectors),
+            self.strangers.append,
+        )
+        self.sent = []
+        self.datagrams.transport = SimpleNamespace(
+            write=lambda datagram, address: self.sent.append(address),
+        )
+        self.received = Recorder(self.node, PeerMessageReceived)
+
+    def receive(self, sender, address):
+        datagram = encode(sender, Heartbeat(1, 1))
+        self.datagrams.datagramReceived(datagram, address)
+
+    def test_message_of_a_listed_node_is_published(self):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        self.receive('n1', PEER)
+        assert [event.sender for event in self.received.events] == ['n1']
+
+    @pytest.mark.parametrize(
+        ('sender', 'address'),
+        [('n1', STRANGER), ('other', PEER)],
+    )
+    def test_message_from_elsewhere_is_dropped(self, sender, address):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        self.receive(sender, address)
+        assert not self.received.events
+        assert not self.strangers
+        assert dropped(self.collectors, 'unlisted-sender') == 1
+
+    def test_heartbeat_before_the_first_vm_list_shows_whom_to_ask(self):
+        self.receive('n1', PEER)
+        assert not self.received.events
+        assert self.strangers == [PEER]
+
+    @pytest.mark.parametrize(
+        'datagram',
+        [b'', b'rubbish', bytes(MAX_DATAGRAM_BYTES + 1)],
+    )
+    def test_rubbish_is_counted_and_dropped(self, datagram):
+        self.datagrams.datagramReceived(datagram, PEER)
+        assert dropped(self.collectors, 'malformed') == 1
+
+    def test_message_goes_to_the_listed_address(self):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        wanted = PeerMessageWanted('n1', Heartbeat(1, 1))
+        self.sent.clear()
+        self.node.events.publish(wanted)
+        assert self.sent == [PEER]
+
+    def test_message_too_long_for_a_datagram_is_not_sent(self):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        news = Flooded('n0', 1, UpstreamWarm('w' * 2000, 'a'))
+        self.sent.clear()
+        self.node.events.publish(PeerMessageWanted('n1', news))
+        assert not self.sent
+        assert dropped(self.collectors, 'oversized') == 1
+
+
+class TestHistory:
+    def setup_method(self):
+        self.node = make_node('n0')
+        self.history = History(self.node)
+
+    def accept(self, *revisions):
+        for revision in revisions:
+            accepted = tables(revision, pools=pools_at(revision))
+            give_tables(self.node, accepted)
+
+    def test_steps_lead_to_the_published_texts(self):
+        self.accept(3, 4, 7)
+        answer = self.history.answer(SyncRequest('n1', 3))
+        assert not answer.is_snapshot
+        assert len(answer.steps) == 2
+        base = tables(3, pools=pools_at(3))
+        assert texts_from(answer, base) == (ROUTES, pools_at(7))
+
+    @pytest.mark.parametrize('after', [0, 2, 5])
+    def test_gap_gets_a_snapshot(self, after):
+        self.accept(3, 4, 7)
+        answer = self.history.answer(SyncRequest('n1', after))
+        assert texts_from(answer, None) == (ROUTES, pools_at(7))
+
+    def test_revision_beyond_the_history_gets_a_snapshot(self):
+        self.accept(*range(1, MAX_STEPS + 3))
+        assert self.history.answer(SyncRequest('n1', 1)).is_snapshot
+        assert not self.history.answer(SyncRequest('n1', 2)).is_snapshot
+
+    @pytest.mark.parametrize('after', [7, 9])
+    def test_peer_that_is_not_behind_gets_nothing(self, after):
+        self.accept(7)
+        answer = self.history.answer(SyncRequest('n1', after))
+        assert (answer.revision, answer.is_snapshot) == (after, False)
+
+    @pytest.mark.parametrize(
+        'base', [None, tables(3, pools=f'{POOLS}\n# other')]
+    )
+    def test_steps_on_other_texts_are_refused(self, base):
+        self.accept(3, 4)
+        answer = self.history.answer(SyncRequest('n1', 3))
+        with pytest.raises(DoesNotFit):
+            texts_from(answer, base)
+
+
+class TestSyncServer:
+    def setup_method(self):
+        self.node = make_node('n0')
+        self.collectors = CollectorRegistry()
+        self.server = SyncServer(
+            self.node,
+            Addresses(self.node),
+            PeerCounters(self.collectors),
+        )
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        give_tables(self.node, tables(3))
+
+    def connect(self, host=PEER[0]):
+        connection = self.server.buildProtocol(None)
+        transport = StringTransport(
+            peerAddress=SimpleNamespace(host=host, port=1),
+        )
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def close(self, connection):
+        connection.connectionLost()
+
+    def test_question_is_answered_with_tables_and_vm_list(self):
+        connection, transport = self.connect()
+        request = SyncRequest('n1', 0, wants_vm_list=True)
+        frame = encode_request(request)
+        connection.dataReceived(len(frame).to_bytes(4, 'big') + frame)
+        answer = decode_answer(transport.value()[4:])
+        assert (answer.revision, answer.routes) == (3, ROUTES)
+        assert [vm.vm_id for vm in answer.vms] == ['n0', 'n1']
+        assert transport.disconnecting
+        self.close(connection)
+
+    @pytest.mark.parametrize(
+        'sent',
+        [
+            (MAX_REQUEST_BYTES + 1).to_bytes(4, 'big'),
+            b'\0\0\0\x04abcd',
+        ],
+    )
+    def test_malformed_question_closes_the_connection(self, sent):
+        connection, transport = self.connect()
+        connection.dataReceived(sent)
+        assert transport.disconnecting or transport.disconnected
+        assert dropped(self.collectors, 'malformed') == 1
+        self.close(connection)
+
+    def test_stranger_is_refused(self):
+        connection, transport = self.connect('127.0.0.9')
+        assert transport.disconnecting or transport.disconnected
+        self.close(connection)
+
+    def test_connections_are_bounded(self):
+        open_now = [self.connect()[0] for _ in range(MAX_CONNECTIONS)]
+        connection, transport = self.connect()
+        assert transport.disconnecting or transport.disconnected
+        self.close(connection)
+        for one in open_now:
+            self.close(one)
+        assert self.server.open_connections == 0
