--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -72,11 +72,14 @@
     def _has_passed_probation(self, read_ms: float) -> bool:
         """Tell whether the service alone may renew a lease that ran out.
 
+        The first lease is free of this: the start rule has held the tables
+        back until the neighbours had their say.
+
         The service can be stale, and what the other nodes accepted meanwhile
         shows only in their answers. So they get the time that a starting node
         gives them, during which the service must go on confirming.
         """
-        if len(self._node.fleet.nodes()) <= 1:
+        if self.confirmed_at_ms is None or len(self._node.fleet.nodes()) <= 1:
             return True
         gap_ms = read_ms - self._last_service_ms
         self._last_service_ms = read_ms
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -71,6 +71,11 @@
     def stop(self) -> None:
         """Need no stop."""
 
+    @property
+    def collectors(self) -> CollectorRegistry:
+        """Where other parts register metrics of their own."""
+        return self._collectors
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         self._gauges.read()
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
@@ -7,12 +7,7 @@
 )
 from figdoor_kernel import Extension, Registry
 
-__all__ = (
-    'HttpConfigSource',
-    'HttpVmListSource',
-    'read_vm_list',
-    'register',
-)
+__all__ = ('HttpConfigSource', 'HttpVmListSource', 'read_vm_list', 'register')
 
 
 def register(registry: Registry) -> None:
