Use round robin in the process tests of failing upstreams

Cause: two tests expect that some requests meet the failing upstream, but the adaptive chooser remembers its failures from the test before and avoids it. Change: the gateways of these tests choose in turn.

--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -50,6 +50,7 @@
 
     def __init__(self, node: Node) -> None:
         """Create all metrics in a registry of their own."""
+        # Other parts register metrics of their own here.
         self.collectors = CollectorRegistry()
         self._tenants: set[str] = set()
         self._children: dict[tuple[str, ...], tuple[Any, Any]] = {}
@@ -71,11 +72,6 @@
     def stop(self) -> None:
         """Need no stop."""
 
-    @property
-    def collectors(self) -> CollectorRegistry:
-        """Where other parts register metrics of their own."""
-        return self._collectors
-
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         self._gauges.read()
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -55,7 +55,12 @@
         )
 
     def add_gateway(self, vm_id):
-        return self.deployment.add_gateway(vm_id, 'z1')
+        # A chooser that avoids failing upstreams would hide the failures.
+        return self.deployment.add_gateway(
+            vm_id,
+            'z1',
+            chooser='round-robin',
+        )
 
     @property
     def upstreams(self):
