Write requests and answers at once instead of on the next loop turn

Cause: each write waited for the reactor's next turn, which costs a poll and two changes of the epoll set; head and body of an answer were separate parts.

Change: write_now sends directly where nothing waits before it and leaves the rest to Twisted. The writer joins what one segment brought; receivers hear of the end of a segment (`flush`).

Ruled out: calling doWrite after write, which keeps the two changes of the epoll set. Twisted has no public test for waiting data; the one private attribute is read in one place.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
@@ -12,6 +12,7 @@
 from figdoor_gateway.frontend._intake import Intake
 from figdoor_gateway.frontend._proxying import ProxiedCall
 from figdoor_gateway.loop import Timer, call_later, cancel
+from figdoor_gateway.sockets import write_now
 
 if TYPE_CHECKING:
     from figdoor_gateway.frontend._server import HttpFrontEnd
@@ -37,7 +38,7 @@
         self.proxied: ProxiedCall | None = None
         self.is_write_full = False
         self._settings = front_end.settings
-        self._intake = Intake(self._settings, self._write)
+        self._intake = Intake(self._settings, self.write)
         self._last_active_ms = front_end.clock.now_ms()
         self._head_begun_ms: float | None = None
         self._closing = False
@@ -103,6 +104,10 @@
         """Go on reading the body in progress."""
         self._intake.resume_upload()
 
+    def write(self, data: bytes) -> None:
+        """Write to the caller."""
+        write_now(self.transport, data)
+
     def finish_request(self, keep_open: bool) -> None:
         """Go on after an answer was written completely."""
         self.proxied = None
@@ -186,7 +191,7 @@
 
     def _refuse(self, error: BadRequestError) -> None:
         self.front_end.count_malformed()
-        self._write(render_error(error.status, error.phrase))
+        self.write(render_error(error.status, error.phrase))
         self.close()
 
     def _abandon(self) -> None:
@@ -194,6 +199,3 @@
         self.proxied = None
         if proxied is not None:
             proxied.abandon()
-
-    def _write(self, data: bytes) -> None:
-        self.transport.write(data)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
@@ -57,6 +57,11 @@
         if self._writer is not None:
             self._writer.body(data)
 
+    def flush(self) -> None:
+        """Write what has come so far."""
+        if self._writer is not None:
+            self._writer.flush()
+
     def finish(self) -> None:
         """Write the end of the upstream's answer."""
         writer = self._writer
@@ -72,7 +77,7 @@
     def tell(self, finish: Finish, is_late: bool) -> None:
         """Write the outcome of a call that was not answered."""
         keep_open = self._keeps_open()
-        self._connection.transport.write(
+        self._connection.write(
             render_outcome(
                 finish.outcome,
                 finish.refusal,
@@ -86,7 +91,7 @@
     def refuse(self, error: BadRequestError, outcome: Outcome) -> None:
         """Write that the rest of the request cannot be taken."""
         self._connection.front_end.count_malformed()
-        self._connection.transport.write(
+        self._connection.write(
             render_error(error.status, error.phrase, outcome),
         )
         self._connection.finish_request(keep_open=False)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -126,6 +126,10 @@
             self._give_up()
             self._advance()
 
+    def flush(self) -> None:
+        """Pass on what was taken; more of the answer comes later."""
+        self._delivery.flush()
+
     def complete(self) -> None:
         """Finish the answer, or try elsewhere where it was shed."""
         self._use(None)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
@@ -4,6 +4,7 @@
 
 from figdoor_gateway.headers import INNER_OUTCOME, OUTCOME, OWN_PREFIX
 from figdoor_gateway.protocols import AnswerHead, Headers
+from figdoor_gateway.sockets import write_now
 from figdoor_kernel import Outcome
 
 _END_OF_LINE = b'\r\n'
@@ -12,7 +13,7 @@
 
 
 class AnswerWriter:
-    """Writes head and body as they come.
+    """Writes head and body as they come, one write for each ``flush``.
 
     An HTTP/1.0 caller does not know chunked coding and could not tell a cut
     body from a whole one, so its answer is held until it is complete.
@@ -25,17 +26,18 @@
         http10: bool,
         head: AnswerHead,
     ) -> None:
-        """Write the head, unless the answer must be held."""
+        """Take the head; it leaves with the first part of the body."""
         self.keep_alive = keep_alive
         self._transport = transport
         self._head = head
         self._chunked = head.body_length is None
         self._held: bytearray | None = None
+        self._parts: list[bytes] = []
         if http10 and self._chunked:
             self._held = bytearray()
         else:
             framing = b'transfer-encoding: chunked' if self._chunked else None
-            self._write_head(framing)
+            self._parts.append(self._render_head(framing))
 
     @property
     def held_bytes(self) -> int | None:
@@ -43,23 +45,30 @@
         return None if self._held is None else len(self._held)
 
     def body(self, data: bytes) -> None:
-        """Write or hold a part of the body."""
+        """Take or hold a part of the body."""
         if self._held is not None:
             self._held += data
         elif self._chunked:
-            self._transport.write(b'%x\r\n%b\r\n' % (len(data), data))
+            self._parts.append(b'%x\r\n%b\r\n' % (len(data), data))
         else:
-            self._transport.write(data)
+            self._parts.append(data)
+
+    def flush(self) -> None:
+        """Write what was taken, in one piece."""
+        if self._parts:
+            write_now(self._transport, b''.join(self._parts))
+            self._parts.clear()
 
     def finish(self) -> None:
-        """Write what marks the end of the answer."""
+        """Write the rest and what marks the end of the answer."""
         if self._held is not None:
-            self._write_head(b'content-length: %d' % len(self._held))
-            self._transport.write(bytes(self._held))
+            length = b'content-length: %d' % len(self._held)
+            self._parts = [self._render_head(length), bytes(self._held)]
         elif self._chunked:
-            self._transport.write(_LAST_CHUNK)
+            self._parts.append(_LAST_CHUNK)
+        self.flush()
 
-    def _write_head(self, framing: bytes | None) -> None:
+    def _render_head(self, framing: bytes | None) -> bytes:
         head = self._head
         lines = [b'HTTP/1.1 %d %b' % (head.status, head.reason)]
         lines.extend(_passed_on(head.headers))
@@ -69,7 +78,7 @@
         if not self.keep_alive:
             lines.append(b'connection: close')
         lines.append(_END_OF_LINE)
-        self._transport.write(_END_OF_LINE.join(lines))
+        return _END_OF_LINE.join(lines)
 
 
 def _passed_on(headers: Headers) -> list[bytes]:
--- a/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -81,6 +81,9 @@
     def body(self, data: bytes) -> None:
         """Take a part of the answer's body."""
 
+    def flush(self) -> None:
+        """Pass on what was taken so far, since no more has arrived yet."""
+
     def complete(self) -> None:
         """Note the end of a whole answer."""
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -8,12 +8,13 @@
 from twisted.python.failure import Failure
 
 from figdoor_gateway.protocols import AnswerReceiver, OutboundRequest
+from figdoor_gateway.sockets import write_now
 from figdoor_gateway.upstreams._answer import Answer, BadAnswerError
 from figdoor_gateway.upstreams._rendering import (
     LAST_CHUNK,
     BodyProducer,
     render_chunk,
-    render_head,
+    render_request,
 )
 
 _SWITCHING_PROTOCOLS = 101
@@ -73,11 +74,7 @@
         if self._body_open and request.body_source is not None:
             producer = BodyProducer(request.body_source)
             self.transport.registerProducer(producer, True)
-        self.transport.write(render_head(request))
-        if request.body:
-            self._write_body(request.body)
-        if request.body_complete and self._chunked:
-            self.transport.write(LAST_CHUNK)
+        write_now(self.transport, render_request(request))
         if producer is not None:
             producer.begin()
 
@@ -95,7 +92,7 @@
         if self._body_open:
             self._body_open = False
             if self._chunked:
-                self.transport.write(LAST_CHUNK)
+                write_now(self.transport, LAST_CHUNK)
             self.transport.unregisterProducer()
 
     def pause(self) -> None:
@@ -136,7 +133,9 @@
             return
         if self._answer.is_over:
             self._finish(intact)
-        elif not (intact and self._head_fits(len(data))):
+        elif intact and self._head_fits(len(data)):
+            self._receiver.flush()
+        else:
             self._fail()
 
     def connectionLost(  # noqa: N802
@@ -207,7 +206,10 @@
         return self._unread_bytes <= self._max_header_bytes
 
     def _write_body(self, data: bytes) -> None:
-        self.transport.write(render_chunk(data) if self._chunked else data)
+        write_now(
+            self.transport,
+            render_chunk(data) if self._chunked else data,
+        )
 
     def _finish(self, intact: bool) -> None:
         """Report a whole answer; rubbish after it only costs the connection.
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_rendering.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_rendering.py
@@ -37,8 +37,8 @@
         """Do nothing; the lost connection is reported separately."""
 
 
-def render_head(request: OutboundRequest) -> bytes:
-    """Return the request's head with its framing."""
+def render_request(request: OutboundRequest) -> bytes:
+    """Return the request's head with its framing, and the body so far."""
     lines = [b'%b %b HTTP/1.1' % (request.method, request.target)]
     lines.extend([b'%b: %b' % pair for pair in request.headers])
     length = request.body_length
@@ -47,9 +47,17 @@
     elif length or request.method not in _USUALLY_BODILESS:
         lines.append(b'content-length: %d' % length)
     lines.append(b'\r\n')
-    return b'\r\n'.join(lines)
+    head = b'\r\n'.join(lines)
+    return head + _render_body(request) if request.body_length != 0 else head
 
 
 def render_chunk(data: bytes) -> bytes:
     """Return one chunk of chunked coding."""
     return b'%x\r\n%b\r\n' % (len(data), data)
+
+
+def _render_body(request: OutboundRequest) -> bytes:
+    if request.body_length is not None:
+        return request.body
+    chunk = render_chunk(request.body) if request.body else b''
+    return chunk + LAST_CHUNK if request.body_complete else chunk
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -34,6 +34,9 @@
         if self.on_body:
             self.on_body()
 
+    def flush(self):
+        pass
+
     def complete(self):
         self.ends.append('complete')
 
--- a/tests/gateway/upstreams/test_transport.py
+++ b/tests/gateway/upstreams/test_transport.py
@@ -41,6 +41,9 @@
     def head(self, head):
         pass
 
+    def flush(self):
+        pass
+
     def complete(self):
         self.ends.append('complete')
 
