Test what decisions see of a request

Cause: authority and fingerprint had no tests of their own.

Tried and reverted: decoding headers only when a decision asks for one, hashing the fingerprint in one call, and caching the metric of an attempt's state.

--- /dev/null
+++ b/tests/gateway/frontend/test_request.py
@@ -0,0 +1,33 @@
+"""What the decisions get to see of a request."""
+
+import pytest
+
+from figdoor_gateway.frontend._request import CallerRequest
+
+
+class TestCall:
+    @pytest.mark.parametrize(
+        ('host', 'authority'),
+        [
+            (b'A.Example:80', 'a.example'),
+            (b'[::1]:80', '[::1]'),
+            (b'', ''),
+        ],
+    )
+    def test_authority_has_no_port(self, host, authority):
+        request = CallerRequest(b'GET', b'/', [(b'host', host)])
+        assert request.as_call().authority == authority
+
+    def test_fingerprint_covers_method_target_and_body(self):
+        prints = {
+            CallerRequest(method, target, body=bytearray(body))
+            .as_call()
+            .fingerprint
+            for method, target, body in (
+                (b'GET', b'/', b''),
+                (b'PUT', b'/', b''),
+                (b'GET', b'/a', b''),
+                (b'GET', b'/', b'a'),
+            )
+        }
+        assert len(prints) == 4
