Give the demo the power to notice broken promises

Cause: three trials with broken rules (a lost order is sent again, the zone rule allows everything, a lost request is told not-run) all ended with "all promises kept": the kills cut no request in progress, and no caller used the gateway in the zone that was out, which prefers upstreams there.

Change: a service turns slow for 0.3 s before each kill, and one caller in five does not notice that a gateway is unready. Latencies leave out requests begun while a service was slow.

Conclusion: the trial that sends lost orders again is still to be shown.

--- a/standins/src/figdoor_standins/callers.py
+++ b/standins/src/figdoor_standins/callers.py
@@ -3,7 +3,8 @@
 ``python -m figdoor_standins.callers --plan plan.json --records out.jsonl``
 sends requests at the plan's rate, whatever the answers, and writes one record
 a request: what its caller was told and how long it took. Callers prefer
-gateways whose ``/readyz`` says 200. A request that was not sent, or an
+gateways whose ``/readyz`` says 200, but for the plan's ``stale_share``, whose
+balancer has not noticed. A request that was not sent, or an
 idempotent one that was lost, goes once to another gateway; a lost request
 that is not idempotent is never sent again. Each try has an id of its own.
 """
@@ -115,6 +116,8 @@
         if kind.get('direct'):
             return [tuple(kind['direct'])]
         mixed = self.random.sample(self.gateways, len(self.gateways))
+        if self.random.random() < self.plan['stale_share']:
+            return mixed[:2]
         return sorted(mixed, key=lambda gateway: gateway not in self.ready)[:2]
 
     async def attempt(self, kind, tenant, target, request_id):
--- a/standins/src/figdoor_standins/demo/fleet.py
+++ b/standins/src/figdoor_standins/demo/fleet.py
@@ -19,6 +19,10 @@
 LOAD_S = 15
 ZONE_OUT_AT_S = 4
 ZONE_BACK_AT_S = 8.5
+# A service turns slow before a kill, so that the kill cuts requests that have
+# started; at the usual service time there would be none most of the time.
+SLOW_SERVICE_MS = 400
+SLOW_S = 0.3
 UPSTREAM_KILLED_AT_S = 10.5
 GATEWAY_KILLED_AT_S = 12
 VM_LIST_LAG_S = 1
@@ -94,15 +98,16 @@
         'ramp_s': 3,
         'rate_per_s': 150,
         'max_requests': 3000,
+        'stale_share': 0.2,
         'gateways': [
             (HOST, gateway.port, gateway.operator_port)
             for gateway in deployment.gateways
         ],
         'kinds': [
-            {'route': 'lookup', 'weight': 5, **reads, **at_work},
-            {'route': 'close-out', 'weight': 2, **orders, **at_work},
+            {'route': 'lookup', 'weight': 4, **reads, **at_work},
+            {'route': 'close-out', 'weight': 4, **orders, **at_work},
             {'route': 'stock', 'weight': 3, **reads, **at_parts},
-            {'route': 'order', 'weight': 2, **orders, **at_parts},
+            {'route': 'order', 'weight': 3, **orders, **at_parts},
             {
                 'route': 'direct',
                 'weight': 2,
@@ -142,10 +147,18 @@
     deployment.platform.publish(routes, pools)
     upstream = deployment.upstreams[0]
     gateway = deployment.gateways[-1]
-    at(UPSTREAM_KILLED_AT_S, f'upstream {upstream.vm_id} is killed')
-    upstream.kill()
-    at(GATEWAY_KILLED_AT_S, f'gateway {gateway.vm_id} is killed')
-    gateway.kill()
+    for moment_s, service, process in (
+        (UPSTREAM_KILLED_AT_S, 'work-orders', upstream),
+        (GATEWAY_KILLED_AT_S, 'parts-desk', gateway),
+    ):
+        at(moment_s - SLOW_S, f'{service} turns slow')
+        slow_from_ms = clock_ms()
+        _set_service_ms(deployment, service, SLOW_SERVICE_MS)
+        at(moment_s, f'{process.vm_id} is killed')
+        process.kill()
+        _set_service_ms(deployment, service, SERVICE_MS)
+        slow_to_ms = clock_ms() + SLOW_SERVICE_MS
+        run.slow_ms.append((slow_from_ms, slow_to_ms))
     at(GATEWAY_KILLED_AT_S + VM_LIST_LAG_S, 'the VM list drops both')
     deployment.platform.list_vms(
         [
@@ -157,6 +170,12 @@
     at(LOAD_S, 'load ends')
 
 
+def _set_service_ms(deployment, service, service_ms):
+    for upstream in deployment.upstreams:
+        if upstream.service == service and upstream.child.poll() is None:
+            upstream.control(service_ms=service_ms)
+
+
 def _without_zone(pools):
     """Return the pools table with the zone left out of the row ``*``."""
     lines = pools.splitlines()
--- a/standins/src/figdoor_standins/demo/run.py
+++ b/standins/src/figdoor_standins/demo/run.py
@@ -19,7 +19,8 @@
 
     ``zone_out_ms`` and ``zone_back_ms`` are when the tables without and with
     the availability zone had been published. ``listed_s`` is for how long
-    each upstream was in the VM list, ``probes_per_s`` its budget.
+    each upstream was in the VM list, ``probes_per_s`` its budget. ``slow_ms``
+    are the spans in which a service was slow.
     """
 
     records: list = field(default_factory=list)
@@ -28,6 +29,7 @@
     zone_out: str = ''
     zone_out_ms: float = 0
     zone_back_ms: float = 0
+    slow_ms: list = field(default_factory=list)
     gateways: int = 2
     listed_s: dict = field(default_factory=dict)
     probes_per_s: float = 0
--- a/standins/src/figdoor_standins/demo/summary.py
+++ b/standins/src/figdoor_standins/demo/summary.py
@@ -58,11 +58,18 @@
         latencies_ms = sorted(
             record['latency_ms']
             for record in run.records
-            if record['direct'] == direct and record['told'] == 'answered'
+            if record['direct'] == direct
+            and record['told'] == 'answered'
+            and not _was_slow(run, record['started_ms'])
         )
         cells = [percentile(latencies_ms, share) for share in (50, 99, 99.9)]
         texts = ' '.join(f'{cell:8.2f}' for cell in cells)
         yield f'{name:16} {len(latencies_ms):6} {texts}'
+    yield 'without requests begun while a service was slow'
+
+
+def _was_slow(run, at_ms):
+    return any(begin <= at_ms <= end for begin, end in run.slow_ms)
 
 
 def _measuring(run):
