--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -1,7 +1,7 @@
 """Real gateways and upstreams on loopback, shared by all tests here."""
 
-import signal
 import json
+import signal
 from collections import Counter
 from pathlib import Path
 
