--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -50,14 +50,14 @@
 
     def __init__(self, node: Node) -> None:
         """Create all metrics in a registry of their own."""
-        self.collectors = CollectorRegistry()
+        self._collectors = CollectorRegistry()
         self._tenants: set[str] = set()
         self._children: dict[tuple[str, ...], tuple[Any, Any]] = {}
         self._probed: set[str] = set()
         self._last_tick_ms: float | None = None
         self._make_call_metrics()
         self._make_node_metrics()
-        self._gauges = NodeGauges(node, self.collectors)
+        self._gauges = NodeGauges(node, self._collectors)
         node.events.subscribe(CallClosed, self._on_closed)
         node.events.subscribe(AttemptEnded, self._on_attempt)
         node.events.subscribe(ProbeWanted, self._on_probe)
@@ -79,7 +79,7 @@
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         self._gauges.read()
-        return generate_latest(self.collectors)
+        return generate_latest(self._collectors)
 
     def _make_call_metrics(self) -> None:
         self._latency = Histogram(
@@ -87,19 +87,19 @@
             'Time from the request to the end of its answer',
             (_ROUTE, _TENANT),
             buckets=_BUCKETS_S,
-            registry=self.collectors,
+            registry=self._collectors,
         )
         self._calls = Counter(
             'figdoor_calls',
             'Calls by outcome and reason of refusal',
             (_ROUTE, _TENANT, _OUTCOME, 'reason'),
-            registry=self.collectors,
+            registry=self._collectors,
         )
         self._attempts = Counter(
             'figdoor_attempts',
             'Attempts by how they ended',
             ('state',),
-            registry=self.collectors,
+            registry=self._collectors,
         )
 
     def _make_node_metrics(self) -> None:
@@ -107,12 +107,12 @@
             'figdoor_probes',
             'Probes sent, by upstream',
             ('upstream',),
-            registry=self.collectors,
+            registry=self._collectors,
         )
         self._pauses = Counter(
             'figdoor_pauses',
             'Times at which the process did not run for half a second',
-            registry=self.collectors,
+            registry=self._collectors,
         )
 
     def _on_closed(self, event: CallClosed) -> None:
