Add metrics of the peers to the reference

Cause: the peer transport registers its own metrics, which the generator did not build.

Change: tools/reference.py builds them too.

--- a/tools/reference.py
+++ b/tools/reference.py
@@ -11,6 +11,7 @@
 from figdoor_gateway.clock import BootClock
 from figdoor_gateway.frontend._answers import render_error, render_outcome
 from figdoor_gateway.metrics import Metrics
+from figdoor_gateway.peers._counters import PeerCounters
 from figdoor_gateway.settings import OPTIONS
 from figdoor_kernel import (
     AvailabilityZoneName,
@@ -118,6 +119,7 @@
         load_plugins('figdoor_decisions'),
     )
     collectors = Metrics(node).collectors
+    PeerCounters(collectors)
     # The library gives label names only for series that exist.
     for collector in dict.fromkeys(collectors._collector_to_names):
         family = next(iter(collector.describe()))
