Record one of two gateways in the process test of traces

Cause: a lone gateway has no neighbours, so no heartbeat was recorded.

Change: a second gateway runs beside the recorded one.

--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -191,6 +191,7 @@
             deployment.platform.publish(ROUTES, POOLS)
             for number in range(3):
                 deployment.add_upstream(f'w{number}', 'work', 'z1')
+            deployment.add_gateway('n2', 'z2')
             gateway = deployment.add_gateway('n1', 'z1', trace_file=path)
             deployment.wait_ready()
             headers = {'X-Tenant': SECRET, 'Authorization': SECRET}
