Add measuring: probes within a static share of the budget

Ruled out: filling by clock time, since paused nodes would wake with a share of the time in which nodes were added; trusting a list read before a pause.

Nodes may still probe in the same moment.

--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_budget.py
@@ -0,0 +1,71 @@
+"""One node's static share of the measuring budget of an upstream."""
+
+from collections import deque
+
+from figdoor_kernel import (
+    FIGDOOR_SERVICE,
+    Node,
+    VmId,
+    VmList,
+    VmListChanged,
+    VmState,
+)
+
+# The fleet may grow by a quarter before every node's VM list shows it.
+GROWTH_MARGIN = 1.25
+MS_PER_SECOND = 1000
+
+
+def probe_interval_ms(probes_per_s: float, nodes: int) -> float:
+    """Return the time between two probes of one upstream by one node.
+
+    For 2 probes a second and 16 nodes it is 10 s::
+
+        >>> probe_interval_ms(2, 16)
+        10000.0
+    """
+    return MS_PER_SECOND * GROWTH_MARGIN * nodes / probes_per_s
+
+
+class NodeCount:
+    """The largest number of nodes listed within the VM list's lag."""
+
+    def __init__(self, node: Node) -> None:
+        """Follow the VM list."""
+        self._own_id = VmId(node.node_id)
+        self._lag_ms = node.options.vm_list_lag_ms
+        self._current = 0
+        self._read_at_ms = float('-inf')
+        self._is_listed = False
+        # Earlier counts and until when each was in force.
+        self._earlier: deque[tuple[float, int]] = deque()
+        node.events.subscribe(VmListChanged, self._on_vm_list)
+
+    def may_spend(self, now_ms: float) -> bool:
+        """Return whether this node counts in a list that it read lately.
+
+        A paused node wakes up with a list from before the pause, in which
+        the fleet may be much smaller than it is.
+        """
+        return self._is_listed and now_ms - self._read_at_ms <= self._lag_ms
+
+    def largest(self, now_ms: float) -> int:
+        """Return the largest count within the lag, at least 1."""
+        while self._earlier and now_ms - self._earlier[0][0] > self._lag_ms:
+            self._earlier.popleft()
+        counts = [count for _, count in self._earlier]
+        return max(1, self._current, *counts)
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        count = len(event.vm_list.of_service(FIGDOOR_SERVICE))
+        if count != self._current:
+            self._earlier.append((event.now_ms, self._current))
+            self._current = count
+        self._is_listed = self._lists(event.vm_list)
+        self._read_at_ms = event.now_ms
+
+    def _lists(self, vm_list: VmList) -> bool:
+        return any(
+            vm.vm_id == self._own_id and vm.state is VmState.LIVE
+            for vm in vm_list.of_service(FIGDOOR_SERVICE)
+        )
