Spread the probes of nodes that start together; measure measuring

Cause: bench/measuring.py showed 16 probes of one upstream in the same second, every ten seconds, from 16 nodes that started together.

Change: the first token of an upstream takes a random part of the interval more.

Conclusion: the budget holds over time, a single second may see a few probes more, since nodes have no common clock.

--- /dev/null
+++ b/bench/measuring.py
@@ -0,0 +1,110 @@
+"""Measures what measuring costs upstreams and nodes, on a virtual clock.
+
+Probes per upstream against its budget, from several idle nodes, and the time
+that one node spends on deciding. Run it with
+``.venv/bin/python bench/measuring.py``.
+"""
+
+import time
+from collections import Counter
+from random import Random
+
+from fake_workers import VirtualClock
+
+from figdoor_decisions import measuring
+from figdoor_kernel import (
+    Extension,
+    Node,
+    ProbeWanted,
+    Registry,
+    TablesAccepted,
+    Tick,
+    Vm,
+    VmList,
+    VmListChanged,
+)
+from figdoor_tables import read_tables
+
+BUDGET_PER_S = 2
+RUN_S = 120
+TICK_MS = 50
+LIST_READ_MS = 1000
+SIZES = (
+    (1, 1, 20),
+    (5, 5, 20),
+    (16, 16, 20),
+    (20, 20, 20),
+    (1, 640, 6700),
+)
+ROUTES = """
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+read,  *,         /,           *,          work, GET,        all,    1000,        20
+"""
+POOLS = f"""
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+work, work,    z1,                 6,     250,         1,          {BUDGET_PER_S}
+"""
+
+
+def run(nodes, listed, upstreams):
+    """Return the probes and the seconds spent, over ``nodes`` nodes.
+
+    The VM list names ``listed`` nodes; the others do not run here.
+    """
+    clock = VirtualClock()
+    registry = Registry()
+    measuring.register(registry)
+    vms = [
+        Vm(f'w{index}', 'work', 'z1', '127.0.0.1', 1)
+        for index in range(upstreams)
+    ]
+    vms += [
+        Vm(f'n{index}', 'figdoor', 'z1', '127.0.0.1', 2)
+        for index in range(listed)
+    ]
+    changed = VmList(tuple(vms))
+    tables = read_tables(1, ROUTES, POOLS).unwrap()
+    probes = []
+    members = []
+    for index in range(nodes):
+        node = Node(f'n{index}', 'z1', clock, Random(index), registry)
+        node.parts(Extension.SERVICE)
+        node.events.subscribe(ProbeWanted, probes.append)
+        node.events.publish(TablesAccepted(tables, 0))
+        members.append(node)
+    spent_s = 0.0
+    for now_ms in range(0, RUN_S * 1000, TICK_MS):
+        clock.time_ms = now_ms
+        for node in members:
+            if now_ms % LIST_READ_MS == 0:
+                node.events.publish(VmListChanged(changed, now_ms))
+            began = time.process_time()
+            node.events.publish(Tick(now_ms))
+            spent_s += time.process_time() - began
+    return probes, spent_s
+
+
+def main():
+    """Print one row per number of nodes."""
+    print(f'budget {BUDGET_PER_S}/s per upstream, {RUN_S} s')
+    print(
+        'nodes listed upstreams  probes/s  worst upstream  worst second  core %'
+    )
+    for nodes, listed, upstreams in SIZES:
+        probes, spent_s = run(nodes, listed, upstreams)
+        per_upstream = Counter(probe.upstream for probe in probes)
+        per_second = Counter(
+            (probe.upstream, probe.now_ms // 1000) for probe in probes
+        )
+        mean = len(probes) / upstreams / RUN_S
+        worst = max(per_upstream.values(), default=0) / RUN_S
+        burst = max(per_second.values(), default=0)
+        share = 100 * spent_s / nodes / RUN_S
+        print(
+            f'{nodes:5} {listed:6} {upstreams:9} {mean:9.2f} {worst:15.2f} {burst:13}'
+            f' {share:7.3f}',
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/figdoor-decisions/src/figdoor_decisions/measuring/_prober.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_prober.py
@@ -35,6 +35,7 @@
         self._counted_ms: float = 0
         self._ticked_at_ms: float | None = None
         self._spent_at: dict[UpstreamId, float] = {}
+        self._new: set[UpstreamId] = set()
         self._due: list[tuple[float, UpstreamId]] = []
         self._budgets: dict[str, float] = {}
         self._zones: dict[str, frozenset[str]] = {}
@@ -63,10 +64,9 @@
             upstream_id = UpstreamId(vm.vm_id)
             upstream = self._node.fleet.find(upstream_id)
             if upstream is not None and upstream_id not in self._spent_at:
-                # A random part of a recheck spreads nodes and upstreams.
-                phase_ms = RECHECK_MS * self._node.random.random()
                 self._spent_at[upstream_id] = self._counted_ms
-                self._push(upstream_id, phase_ms)
+                self._new.add(upstream_id)
+                self._push(upstream_id, RECHECK_MS * self._node.random.random())
 
     def _on_tick(self, event: Tick) -> None:
         now_ms = event.now_ms
@@ -85,11 +85,17 @@
         upstream = self._node.fleet.find(upstream_id)
         if upstream is None:
             self._spent_at.pop(upstream_id)
+            self._new.discard(upstream_id)
             return
         interval_ms = self._interval_ms(upstream, now_ms)
         if interval_ms is None:
             self._push(upstream_id, RECHECK_MS)
             return
+        if upstream_id in self._new:
+            # Nodes that start together must not go on probing together.
+            self._new.discard(upstream_id)
+            phase_ms = interval_ms * self._node.random.random()
+            self._spent_at[upstream_id] += phase_ms
         left_ms = self._spent_at[upstream_id] + interval_ms - self._counted_ms
         if left_ms > 0:
             self._push(upstream_id, left_ms)
--- a/tests/decisions/test_measuring.py
+++ b/tests/decisions/test_measuring.py
@@ -97,6 +97,12 @@
         fleet.check()
         assert len(fleet.probes_ms) >= 0.6 * BUDGET_PER_S * 120
 
+    def test_nodes_that_start_together_spread_their_probes(self):
+        # The failure: sixteen probes in the same second, every ten seconds.
+        fleet = MeasuredFleet(16)
+        fleet.run(120_000)
+        assert fleet.most_within(1000) <= 8
+
     def test_holds_in_a_split(self):
         fleet = MeasuredFleet(16)
         fleet.network.split(fleet.names[:4], fleet.names[4:])
