--- a/bench/fake_workers.py
+++ b/bench/fake_workers.py
@@ -66,7 +66,8 @@
     instance: int = 1
     falls: int = 0
     served: int = 0
-    running: set = field(default_factory=set)
+    # In the order of arrival, so that equal seeds give equal runs.
+    running: dict = field(default_factory=dict)
     waiting: deque = field(default_factory=deque)
 
     def report(self):
@@ -77,6 +78,17 @@
     def is_down(self):
         return self.clock.time_ms < self.down_until_ms
 
+    @property
+    def is_troubled(self):
+        """Whether a request sent now would fail or take long."""
+        now_ms = self.clock.time_ms
+        return (
+            self.is_down
+            or self.failing[0] <= now_ms < self.failing[1]
+            or any(begin <= now_ms < end for begin, end in self.slow)
+            or (now_ms < self.cold_until_ms and bool(self.running))
+        )
+
     def arrive(self, answer):
         now_ms = self.clock.time_ms
         if self.is_down:
@@ -98,7 +110,7 @@
         """Lose all requests, be down for a while and come back cold."""
         now_ms = self.clock.time_ms
         jobs = [*self.running, *self.waiting]
-        self.running = set()
+        self.running = {}
         self.waiting.clear()
         self.instance += 1
         self.down_until_ms = now_ms + DOWN_MS
@@ -126,7 +138,7 @@
         return at_ms + work_ms
 
     def _begin(self, job):
-        self.running.add(job)
+        self.running[job] = True
         mu = -SERVICE_SIGMA * SERVICE_SIGMA / 2
         work_ms = SERVICE_MEAN_MS * exp(self.random.gauss(mu, SERVICE_SIGMA))
         now_ms = self.clock.time_ms
@@ -135,7 +147,7 @@
     def _end(self, job):
         if job.dropped:
             return
-        self.running.discard(job)
+        self.running.pop(job)
         self.served += 1
         job.answer(AttemptResult(AttemptState.ANSWERED), self.report())
         if self.waiting:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,7 +2,8 @@
 
 The real dispatcher, nodes and decision plug-ins send to fake workers: 20 of
 6 slots in 4 availability zones. Two workers at a time slow tenfold for
-200 ms, one fails fast and one restarts cold. Run it with
+200 ms, one fails fast and one restarts cold. ``oracle`` is no policy but the
+bound that true knowledge gives. Run it with
 ``.venv/bin/python bench/policies.py [--without-limits] [POLICY...]``.
 """
 
@@ -27,6 +28,7 @@
     AttemptState,
     Call,
     Dispatcher,
+    Extension,
     Finish,
     Node,
     Options,
@@ -47,6 +49,7 @@
     'least-requests',
     'power-of-two',
     'adaptive',
+    'oracle',
 )
 LOADS = (0.5, 0.8, 0.95)
 NODE_COUNTS = (1, 16)
@@ -76,6 +79,26 @@
     """Need no waking: a waiting exchange asks again in time."""
 
 
+class Oracle:
+    """Knows the true state of every worker; shows what can be reached."""
+
+    def __init__(self, node, workers):
+        self._zone = node.availability_zone
+        self._random = node.random
+        self._workers = workers
+
+    def choose(self, candidates, routed, now_ms):
+        shuffled = self._random.sample(candidates, len(candidates))
+        return min(shuffled, key=self._cost)
+
+    def _cost(self, upstream):
+        worker = self._workers[upstream.upstream_id]
+        # Own requests may still be on their way to the worker.
+        busy = max(upstream.in_flight, worker.report().running)
+        is_remote = upstream.availability_zone != self._zone
+        return (worker.is_troubled, busy, is_remote)
+
+
 class Run:
     """One policy at one load from some nodes with one seed."""
 
@@ -104,6 +127,7 @@
             registry = Registry()
             for plugin in plugins:
                 plugin.register(registry)
+            registry.provide(Extension.CHOOSER, 'oracle', self._make_oracle)
             node = Node(
                 f'n{index}',
                 zone_of(index),
@@ -136,6 +160,9 @@
             100 * self.failed / self.opened,
         )
 
+    def _make_oracle(self, node):
+        return Oracle(node, self.workers)
+
     def _make_workers(self, random):
         workers = {
             f'w{index}': Worker(f'w{index}', self.clock, self.random)
