Keep room for a second request after sheds

Cause: from 16 nodes a shed left a cap of 1, which closed upstreams to a node that had one request there, so its calls went to failing upstreams.

Change: sheds halve the cap, but not below 2 (or the share, where it is less). The bound on the sum is the same, since the share is never exceeded.

--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
@@ -22,6 +22,8 @@
 # Requests that a fresh report may show beyond the slots, as a share of them.
 QUEUE_SHARE = 0.5
 SHED_WINDOW_MS = 100.0
+# With a cap of 1 after a shed, calls were left with failing upstreams.
+MIN_CAP = 2
 # A report says little after the usual time of a request.
 FRESH_REPORT_MS = 10.0
 
@@ -134,7 +136,8 @@
         if limit is None or event.now_ms - limit.shed_at_ms < SHED_WINDOW_MS:
             return
         if event.state is AttemptState.SHED:
-            limit.cap = max(1, limit.cap // 2)
+            floor = min(limit.share, MIN_CAP)
+            limit.cap = max(floor, limit.cap // 2)
             limit.shed_at_ms = event.now_ms
         elif event.state is AttemptState.ANSWERED:
             limit.cap = min(limit.share, limit.cap + 1)
--- a/tests/decisions/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -108,6 +108,14 @@
             exchange.end(SHED, self.caller.now_ms())
         assert self.cap() == 6
 
+    def test_sheds_leave_room_for_a_second_request(self):
+        # The failure: nodes capped at 1 send to failing upstreams instead.
+        for _ in range(10):
+            exchange, _ = self.caller.open()
+            exchange.end(SHED, self.caller.now_ms())
+            self.caller.node.clock.advance_ms(150)
+        assert self.cap() == 2
+
     def test_answers_after_a_calm_window_give_the_cap_back(self):
         first, _ = self.caller.open()
         second, _ = self.caller.open()
