Read the VM list again only where it has changed

Cause: a node transferred the whole VM list every 0.75 s: 7.9 KB for 55 VMs, more than the 4 KB/s that control may cost.

Change: the platform client sends the last ETag of a value and takes 304 as nothing newer; an unchanged list is published again without being parsed. The stand-in platform marks its list. Bounds and failures of the client are tested.

--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -14,7 +14,7 @@
 
 MAX_ANSWER_BYTES = 4_000_000
 _OK = 200
-_NOTHING_NEWER = 204
+_NOTHING_NEWER = frozenset((204, 304))
 
 
 class PlatformError(FigdoorError):
@@ -31,6 +31,7 @@
         self._pool.retryAutomatically = False
         self._http = HTTPClient(Agent(reactor, pool=self._pool))
         self._base_url = base_url
+        self._etags: dict[str, str] = {}
 
     def get(
         self,
@@ -40,6 +41,9 @@
     ) -> Deferred[Any]:
         """Return the decoded value, or ``None`` where nothing is newer.
 
+        Where the platform marks its answers with an ``ETag``, an unchanged
+        value is not transferred again.
+
         The time limit covers the whole answer. treq's own would end with
         the head, and an answer that stalls after it would hang for ever.
         """
@@ -47,19 +51,29 @@
         return found.addTimeout(timeout_ms / MS_PER_SECOND, reactor)
 
     async def _get(self, path: str, query: dict[str, str]) -> Any:
+        etag = self._etags.get(path)
         response = await self._http.get(
             f'{self._base_url}{path}',
             params=query,
+            headers={'if-none-match': etag} if etag else {},
             unbuffered=True,
         )
         body = _Body()
         response.deliverBody(body)
         text = await body.whole
-        if response.code == _NOTHING_NEWER:
+        if response.code in _NOTHING_NEWER:
             return None
         if response.code != _OK:
             raise PlatformError(f'{path} answered {response.code}')
-        return json.loads(text)
+        found = json.loads(text)
+        self._remember_etag(path, response)
+        return found
+
+    def _remember_etag(self, path: str, response: Any) -> None:
+        etags = response.headers.getRawHeaders('etag', ())
+        self._etags.pop(path, None)
+        if etags:
+            self._etags[path] = etags[0]
 
 
 class _Body(Protocol):
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
@@ -28,7 +28,8 @@
 class HttpVmListSource:
     """Reads ``GET /v1/vms`` when the plan says so.
 
-    On errors the last list stays.
+    On errors the last list stays. An unchanged list is published again, since
+    parts need to know that it was still the same then.
     """
 
     def __init__(self, node: Node) -> None:
@@ -37,6 +38,7 @@
         self._plan: ReadingPlan = node.part(Extension.SERVICE, 'reading-plan')
         self._client = PlatformClient(node.settings.platform_url)
         self._reading: Deferred[Any] | None = None
+        self._last: VmList | None = None
         self._is_running = False
         node.events.subscribe(Tick, self._on_tick)
 
@@ -61,9 +63,10 @@
 
     def _take(self, answer: Any) -> None:
         if answer is not None:
-            vm_list = read_vm_list(answer['vms'])
+            self._last = read_vm_list(answer['vms'])
+        if self._last is not None:
             now_ms = self._node.clock.now_ms()
-            self._node.events.publish(VmListChanged(vm_list, now_ms))
+            self._node.events.publish(VmListChanged(self._last, now_ms))
 
     def _fail(self, failure: Failure) -> None:
         if self._is_running:
--- a/standins/src/figdoor_standins/platform.py
+++ b/standins/src/figdoor_standins/platform.py
@@ -5,7 +5,8 @@
 - ``GET /v1/tables?after=R&wait_ms=W``: 200 with ``{"revision": R, "routes":
   text, "pools": text}`` once there is a revision above R, 204 after W ms;
 - ``GET /v1/vms``: 200 with ``{"vms": [{"id", "service",
-  "availability_zone", "host", "port", "state"}]}``;
+  "availability_zone", "host", "port", "state"}]}`` and an ``ETag``, or 304
+  where the request names that one;
 - ``POST /_publish`` with ``{"routes", "pools"}`` (and ``"revision"`` to serve
   an old one), ``POST /_vms`` with ``{"vms"}``, ``POST /_mode?down=1`` to
   answer everything else with 500, ``GET /_calls`` for the count of calls.
@@ -13,6 +14,7 @@
 
 import json
 import sys
+from hashlib import sha256
 
 from absl import app as absl_app
 from absl import flags
@@ -91,7 +93,10 @@
         if self.down:
             request.setResponseCode(500)
             return b''
-        return json.dumps({'vms': self.vms}).encode()
+        answer = json.dumps({'vms': self.vms}).encode()
+        if request.setETag(b'"%s"' % sha256(answer).hexdigest().encode()):
+            return b''
+        return answer
 
     @app.route('/_publish', methods=['POST'])
     def publish(self, request):
--- a/tests/gateway/platform/test_sources.py
+++ b/tests/gateway/platform/test_sources.py
@@ -2,10 +2,18 @@
 
 from types import SimpleNamespace
 
+import pytest
 from support import POOLS, ROUTES, Recorder, give_tables, make_node, tables
 from twisted.internet.defer import Deferred, fail, succeed
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+from twisted.web.http_headers import Headers
 
 from figdoor_gateway.platform import HttpConfigSource, HttpVmListSource
+from figdoor_gateway.platform._client import (
+    MAX_ANSWER_BYTES,
+    PlatformClient,
+)
 from figdoor_kernel import (
     ServiceConfirmed,
     ServiceFailed,
@@ -95,3 +103,56 @@
             if source._client.answers:
                 tick(node, 100)
         assert len(changed.events) == 1
+
+    def test_unchanged_list_is_published_again(self):
+        node, source = start_source(HttpVmListSource)
+        changed = Recorder(node, VmListChanged)
+        source._client.answers += [succeed({'vms': []}), succeed(None)]
+        for _ in range(60):
+            if source._client.answers:
+                tick(node, 100)
+        first, second = changed.events
+        assert first.vm_list is second.vm_list
+        assert first.now_ms < second.now_ms
+
+
+class TestPlatformClient:
+    def setup_method(self):
+        self.client = PlatformClient('http://127.0.0.1:1')
+        self.answers = []
+        self.headers = []
+        self.client._http = SimpleNamespace(get=self.get)
+
+    def get(self, url, params, headers, unbuffered):
+        self.headers.append(headers)
+        return succeed(self.answers.pop(0))
+
+    def answer(self, code, body, **headers):
+        def deliver(receiver):
+            receiver.dataReceived(body)
+            receiver.connectionLost(Failure(ResponseDone()))
+
+        raw = Headers({name: [text] for name, text in headers.items()})
+        answer = SimpleNamespace(code=code, headers=raw, deliverBody=deliver)
+        self.answers.append(answer)
+
+    def test_unchanged_value_is_not_asked_for_again(self):
+        self.answer(200, b'{"vms": []}', etag='"a"')
+        self.answer(304, b'')
+        found = [self.client.get('/v1/vms', 1000) for _ in range(2)]
+        assert [one.result for one in found] == [{'vms': []}, None]
+        assert self.headers == [{}, {'if-none-match': '"a"'}]
+
+    @pytest.mark.parametrize(
+        ('code', 'body'),
+        [(500, b''), (200, b'{"vms'), (200, bytes(MAX_ANSWER_BYTES + 1))],
+    )
+    def test_answer_without_a_value_is_a_failure(self, code, body):
+        self.answer(code, body, etag='"a"')
+        found = self.client.get('/v1/vms', 1000)
+        failures = []
+        found.addErrback(failures.append)
+        assert len(failures) == 1
+        self.answer(500, b'')
+        self.client.get('/v1/vms', 1000).addErrback(failures.append)
+        assert self.headers[-1] == {}
