--- /dev/null
+++ b/tests/gateway/lifecycle/test_readiness.py
@@ -0,0 +1,46 @@
+"""What a node says about its readiness."""
+
+from support import POOLS, ROUTES, give_vms, make_node, node_vm
+
+from figdoor_gateway.lifecycle import Readiness
+from figdoor_kernel import (
+    NodeState,
+    ServiceConfirmed,
+    TablesOffered,
+    Tick,
+)
+
+
+class TestReadiness:
+    def setup_method(self):
+        self.node = make_node('n0')
+        self.readiness = Readiness(self.node)
+
+    def read_service(self, after_ms=0):
+        self.node.clock.advance_ms(after_ms)
+        now_ms = self.node.clock.now_ms()
+        events = self.node.events
+        events.publish(TablesOffered(1, ROUTES, POOLS, now_ms))
+        events.publish(ServiceConfirmed(now_ms, 1))
+        events.publish(Tick(now_ms))
+
+    def test_node_without_answers_of_neighbours_is_starting(self):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        self.read_service()
+        (reason,) = self.readiness.reasons(self.node.clock.now_ms())
+        assert 'answers of neighbours, 0 of 1 came' in reason
+        assert self.readiness.state is NodeState.STARTING
+
+    def test_node_is_ready_once_it_may_accept_its_tables(self):
+        give_vms(self.node, node_vm('n0'), node_vm('n1'))
+        self.read_service()
+        self.read_service(self.node.options.join_timeout_ms)
+        assert self.readiness.state is NodeState.READY
+
+    def test_node_whose_lease_ran_out_is_unready(self):
+        give_vms(self.node, node_vm('n0'))
+        self.read_service()
+        assert self.readiness.state is NodeState.READY
+        self.node.clock.advance_ms(self.node.options.lease_ms + 1)
+        self.node.events.publish(Tick(self.node.clock.now_ms()))
+        assert self.readiness.state is NodeState.UNREADY
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -129,6 +129,20 @@
         ran = upstream.counts()['executions']
         assert not [name for name in ran if name.startswith('paused-')]
 
+    def test_stopping_gateway_says_farewell(self, deployment):
+        """Guards against neighbours that go on counting on its answers."""
+        stopping = deployment.gateways.pop()
+        assert stopping.stop() == 0
+        wait_until(
+            lambda: any(map(self.heard_farewell, deployment.gateways)),
+            PROMISED_S,
+            'farewell heard',
+        )
+
+    def heard_farewell(self, gateway):
+        text = http(gateway.operator_port, '/metrics')[2].decode()
+        return 'direction="received",kind="Farewell"' in text
+
     def ask(self, gateway, number):
         """Send a request that waits in the buffers of the process."""
         caller = socket.create_connection((HOST, gateway.port), PROMISED_S * 4)
