--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -40,6 +40,7 @@
   upstream @0 :Text;
   tokenMs @1 :Float64;
   deadlineInMs @2 :Float64;
+  instance @3 :Text;
 }
 
 struct PermitAnswer {
