--- a/standins/src/figdoor_standins/demo/fleet.py
+++ b/standins/src/figdoor_standins/demo/fleet.py
@@ -65,6 +65,11 @@
     for number, zone in enumerate(ZONES):
         deployment.add_gateway(f'entry-{number}', zone)
     deployment.wait_ready()
+    deployment.wait_answering(
+        '/work-orders/first',
+        {'Host': 'dispatch.example'},
+    )
+    deployment.wait_answering('/parts/first', {'Host': 'parts.example'})
 
 
 def _add(deployment, folder, vm_id, service, number):
