--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -39,11 +39,13 @@
 from figdoor_traces import Recorder, TraceRandom, read_trace, replay
 
 SECRET = 'hunter2'
+# After this time a node of a new fleet acts as home node.
+HANDOVER_MS = 1500
 
 
 class TestRecorder:
     def record(self, max_bytes=1_000_000, calls=20):
-        node = make_node(vm_list_lag_ms=0)
+        node = make_node(cold_starts=True, vm_list_lag_ms=0)
         written = []
         Recorder(node, written.append, max_bytes)
         give_vms(
@@ -53,6 +55,7 @@
         )
         offer = TablesOffered(Revision(1), ROUTES, POOLS, 0)
         node.events.publish(offer)
+        node.clock.advance_ms(HANDOVER_MS)
         confirm(node)
         dispatcher = Dispatcher(node)
         for number in range(calls):
@@ -139,7 +142,7 @@
             clock,
             TraceRandom(origin),
             io_free_registry(),
-            Options(chooser='power-of-two'),
+            Options(chooser='power-of-two', vm_list_lag_ms=0),
         )
         node.parts(Extension.SERVICE)
         written = []
@@ -147,7 +150,8 @@
         node.events.subscribe(PeerMessageWanted, partial(self.answer, node))
         dispatcher = Dispatcher(node)
         offer = TablesOffered(Revision(1), ROUTES, POOLS, 0)
-        give_vms(node, node_vm('n1'), node_vm('n2'), upstream_vm('w1'))
+        workers = [upstream_vm(f'w{number}') for number in range(8)]
+        give_vms(node, node_vm('n1'), node_vm('n2'), *workers)
         node.events.publish(offer)
         for _ in range(100):
             clock.advance_ms(50)
@@ -194,6 +198,7 @@
             deployment.add_gateway('n2', 'z2')
             gateway = deployment.add_gateway('n1', 'z1', trace_file=path)
             deployment.wait_ready()
+            deployment.wait_answering('/')
             headers = {'X-Tenant': SECRET, 'Authorization': SECRET}
             for number in range(50):
                 http(gateway.port, f'/{SECRET}/{number}', headers=headers)
--- a/tests/traces/test_replay.py
+++ b/tests/traces/test_replay.py
@@ -110,6 +110,9 @@
         lines[-1]['expect']['outcome'] = 'not-run'
         code, text = self.run(*lines, path=path)
         assert code == 1
-        assert f"{path}:9:outcome: stated 'not-run', found 'unknown'" in text
+        assert (
+            f"{path}:{len(lines)}:outcome: stated 'not-run', found 'unknown'"
+            in text
+        )
         assert self.run({'trace': 1}, path=path)[0] == 2
         assert main(['replay', str(tmp_path)], StringIO()) == 2
