Start no second attempt when a permit comes late

Cause: found by the state machine once cold starts ran in it: a GET was run twice and told not-run. A call that waited for a permit went on by its timer and was sent; the permit's late answer then woke it, and the next step began a second attempt beside the first. A write could have run twice the same way. Change: an exchange wakes its front end only while it waits, and a step asked for during an attempt starts nothing. The exchange has a module of its own. Ruled out: guarding in the front end, since any other front end would need the same guard.

--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -17,16 +17,7 @@
     LoadReport,
     RoutedCall,
 )
-from figdoor_kernel._dispatcher import (
-    UNNAMED_TENANT,
-    AttemptResult,
-    Dispatcher,
-    Exchange,
-    Finish,
-    Send,
-    Step,
-    Wait,
-)
+from figdoor_kernel._dispatcher import UNNAMED_TENANT, Dispatcher
 from figdoor_kernel._errors import (
     FigdoorError,
     PluginError,
@@ -59,6 +50,7 @@
     UpstreamStateChanged,
     VmListChanged,
 )
+from figdoor_kernel._exchange import Exchange
 from figdoor_kernel._findings import (
     Finding,
     Place,
@@ -128,6 +120,13 @@
     Verdict,
     VmState,
 )
+from figdoor_kernel._steps import (
+    AttemptResult,
+    Finish,
+    Send,
+    Step,
+    Wait,
+)
 from figdoor_kernel._tables import (
     ANY,
     Pool,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -110,7 +110,11 @@
 
     def __init__(self, node_count=3):
         names = [f'n{number + 1}' for number in range(node_count)]
-        self.network = Network(*names, vm_list_lag_ms=VM_LIST_LAG_MS * 2)
+        self.network = Network(
+            *names,
+            vm_list_lag_ms=VM_LIST_LAG_MS * 2,
+            cold_starts=True,
+        )
         self.clock = self.network.clock
         self.workers = {
             name: Worker(name, zone)
--- a/tests/kernel/test_dispatcher.py
+++ b/tests/kernel/test_dispatcher.py
@@ -21,12 +21,29 @@
     Outcome,
     Refusal,
     Send,
+    Verdict,
+    Wait,
     start_attempt,
 )
 
 NOTHING = AttemptResult(AttemptState.LOST, connection_died=True)
 
 
+class AskLater:
+    """A permit source whose answer the test gives."""
+
+    def ask(self, upstream, routed, wake, now_ms):
+        self.answer = wake
+        return now_ms + 100
+
+
+class AskFirst:
+    """A rule under which no upstream may be used without a permit."""
+
+    def judge(self, upstream, routed, now_ms):
+        return Verdict.ASK
+
+
 class TestExchange:
     def setup_method(self):
         self.node = make_node()
@@ -75,6 +92,32 @@
         step = exchange.next_step(self.clock.now_ms())
         assert step.outcome is Outcome.UNKNOWN
 
+    def test_late_permit_starts_no_second_attempt_beside_the_first(self):
+        exchange = self.open(operation='POST')
+        first = self.begin(exchange)
+        step = exchange.next_step(self.clock.now_ms())
+        assert isinstance(step, Wait)
+        assert first.upstream.in_flight == 1
+        assert exchange.attempts_made == 1
+
+    def test_late_permit_wakes_nobody_once_an_attempt_is_under_way(self):
+        woken = []
+        sources = [AskLater()]
+        self.dispatcher.permit_sources = tuple(sources)
+        self.dispatcher.candidate_rules = (AskFirst(),)
+        exchange = self.dispatcher.open(
+            make_call('POST'),
+            self.clock.now_ms(),
+            lambda: woken.append(1),
+        )
+        assert isinstance(exchange.next_step(self.clock.now_ms()), Wait)
+        sources[0].answer()
+        assert woken == [1]
+        self.dispatcher.candidate_rules = ()
+        assert isinstance(exchange.next_step(self.clock.now_ms()), Send)
+        sources[0].answer()
+        assert woken == [1]
+
     def test_shed_non_idempotent_call_is_sent_elsewhere(self):
         exchange = self.open(operation='POST')
         self.begin(exchange)
