Probe idle serving upstreams, also while the platform is down

Serving upstreams were not probed, and all probes stopped once the VM list could not be read. Ruled out: denying upstreams without a fresh report, which would stop idle pools in every outage of the platform.

--- a/packages/figdoor-decisions/src/figdoor_decisions/measuring/_budget.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_budget.py
@@ -2,8 +2,10 @@
 
 from collections import deque
 
+from figdoor_decisions.configuration import ConfigLease
 from figdoor_kernel import (
     FIGDOOR_SERVICE,
+    Extension,
     Node,
     VmId,
     VmList,
@@ -33,6 +35,7 @@
     def __init__(self, node: Node) -> None:
         """Follow the VM list."""
         self._own_id = VmId(node.node_id)
+        self._lease: ConfigLease = node.part(Extension.SERVICE, 'config-lease')
         self._lag_ms = node.options.vm_list_lag_ms
         self._current = 0
         self._read_at_ms = float('-inf')
@@ -42,12 +45,18 @@
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
     def may_spend(self, now_ms: float) -> bool:
-        """Return whether this node counts in a list that it read lately.
+        """Return whether this node counts in a list that it may trust.
 
         A paused node wakes up with a list from before the pause, in which
-        the fleet may be much smaller than it is.
+        the fleet may be much smaller than it is. A config lease that holds
+        proves that it was not paused, so a list that cannot be read again
+        because the platform is down stays good.
         """
-        return self._is_listed and now_ms - self._read_at_ms <= self._lag_ms
+        if not self._is_listed:
+            return False
+        if now_ms - self._read_at_ms <= self._lag_ms:
+            return True
+        return self._lease.holds(now_ms)
 
     def largest(self, now_ms: float) -> int:
         """Return the largest count within the lag, at least 1."""
--- a/packages/figdoor-decisions/src/figdoor_decisions/measuring/_worth.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_worth.py
@@ -11,9 +11,7 @@
 )
 
 OLD_REPORT_MS = 1000.0
-_NOT_WORTH = frozenset(
-    (UpstreamState.SERVING, UpstreamState.DRAINING, UpstreamState.GONE),
-)
+_NOT_WORTH = frozenset((UpstreamState.DRAINING, UpstreamState.GONE))
 
 
 class Worth:
@@ -30,7 +28,11 @@
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
     def is_worth(self, upstream: Upstream, now_ms: float) -> bool:
-        """Return whether state and load of an upstream are unknown."""
+        """Return whether state and load of an upstream are unknown.
+
+        A serving upstream is worth a probe once its report is old: while the
+        platform is down, only a report tells that it has begun to leave.
+        """
         if upstream.in_flight or upstream.vm_state is not VmState.LIVE:
             return False
         if self._states.get(upstream.upstream_id) in _NOT_WORTH:
