Take the connection limit from the decisions, and never wait for no time

Cause: the transport computed a connection limit of its own beside the one of the limits plug-in, which nobody asked. A step asked for during an attempt past its deadline said to wait until a time already gone, so a front end with a stale timer would ask again without a pause; the state machine of the cold allowance then ran for ever. Change: the transport asks the limits plug-in, which remembers the answer per upstream until tables or VM list change; the smallest number of connections counts where pools share a service. Such a step waits at least 100 ms.

--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_connections.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_connections.py
@@ -2,7 +2,14 @@
 
 from figdoor_decisions.limits._caps import connection_cap
 from figdoor_decisions.limits._sharing import Sharing
-from figdoor_kernel import Extension, Node, Upstream
+from figdoor_kernel import (
+    Extension,
+    Node,
+    TablesAccepted,
+    Upstream,
+    UpstreamId,
+    VmListChanged,
+)
 
 
 class ConnectionLimits:
@@ -15,6 +22,9 @@
         """Use the tables and subsets of this node."""
         self._node = node
         self._sharing: Sharing = node.part(Extension.SERVICE, 'sharing')
+        self._limits: dict[UpstreamId, int] = {}
+        node.events.subscribe(TablesAccepted, self._forget)
+        node.events.subscribe(VmListChanged, self._forget)
 
     def start(self) -> None:
         """Need no start."""
@@ -28,6 +38,13 @@
         Pools of the same service share its workers, so the lowest count of
         connections holds.
         """
+        known = self._limits.get(upstream.upstream_id)
+        if known is None:
+            known = self._compute(upstream)
+            self._limits[upstream.upstream_id] = known
+        return known
+
+    def _compute(self, upstream: Upstream) -> int:
         tables = self._node.tables
         pools = tables.pools.values() if tables else ()
         counts = [
@@ -38,3 +55,6 @@
         if not counts:
             return 0
         return connection_cap(min(counts), self._sharing.nodes_at(upstream))
+
+    def _forget(self, event: TablesAccepted | VmListChanged) -> None:
+        self._limits.clear()
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_desk.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_granting.py
@@ -20,7 +20,7 @@
 VOUCH_TOKEN_MS: float = 0
 
 
-class PermitDesk:
+class PermitGranter:
     """Grants permits and takes them back."""
 
     def __init__(self, node: Node) -> None:
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_vouching.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_vouching.py
@@ -1,8 +1,8 @@
 """Keeps home nodes informed by those who serve on their own evidence."""
 
 from figdoor_decisions.homes import Homes
-from figdoor_decisions.warmth._desk import VOUCH_TOKEN_MS
 from figdoor_decisions.warmth._evidence import WarmthEvidence
+from figdoor_decisions.warmth._granting import VOUCH_TOKEN_MS
 from figdoor_kernel import (
     AttemptEnded,
     AttemptState,
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
@@ -2,13 +2,14 @@
 
 from functools import partial
 
+from figdoor_decisions.limits import ConnectionLimits
 from figdoor_gateway.protocols import AnswerReceiver, OutboundRequest
 from figdoor_gateway.upstreams._pool import UpstreamPool
 from figdoor_gateway.upstreams._sending import HttpSending
 from figdoor_kernel import (
     ConnectionsClosed,
+    Extension,
     Node,
-    ServiceName,
     TablesAccepted,
     Upstream,
     UpstreamId,
@@ -23,7 +24,10 @@
         """Follow the tables and the VM list, which set the limits."""
         self._node = node
         self._pools: dict[UpstreamId, UpstreamPool] = {}
-        self._limits: dict[ServiceName, int] = {}
+        self._limits: ConnectionLimits = node.part(
+            Extension.SERVICE,
+            'connection-limits',
+        )
         node.events.subscribe(TablesAccepted, self._on_change)
         node.events.subscribe(VmListChanged, self._on_change)
 
@@ -39,38 +43,17 @@
         connection = pool.take()
         if connection is not None:
             sending.use(connection)
-        elif pool.open_count < self.limit_of(upstream.service):
+        elif pool.open_count < self._limits.limit(upstream):
             pool.connect(sending)
         else:
             sending.refuse(refused=False)
         return sending
 
-    def limit_of(self, service: ServiceName) -> int:
-        """Return how many connections each upstream of a service may have.
-
-        It is this node's share of what a worker takes from the whole fleet.
-        """
-        limit = self._limits.get(service)
-        if limit is None:
-            limit = self._compute_limit(service)
-            self._limits[service] = limit
-        return limit
-
     def stop(self) -> None:
         """Close all idle connections."""
         for pool in self._pools.values():
             pool.trim(0)
 
-    def _compute_limit(self, service: ServiceName) -> int:
-        tables = self._node.tables
-        pools = tables.pools.values() if tables else ()
-        connections = max(
-            (pool.connections for pool in pools if pool.service == service),
-            default=1,
-        )
-        nodes = max(1, len(self._node.fleet.nodes()))
-        return max(1, connections // nodes)
-
     def _pool_of(self, upstream: Upstream) -> UpstreamPool:
         pool = self._pools.get(upstream.upstream_id)
         address = (upstream.host, upstream.port)
@@ -88,11 +71,10 @@
         return pool
 
     def _on_change(self, event: TablesAccepted | VmListChanged) -> None:
-        self._limits.clear()
         for upstream_id, pool in tuple(self._pools.items()):
             upstream = self._node.fleet.find(upstream_id)
             if upstream is not None:
-                pool.trim(self.limit_of(upstream.service))
+                pool.trim(self._limits.limit(upstream))
                 continue
             pool.retire()
             self._pools.pop(upstream_id)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -35,6 +35,8 @@
 if TYPE_CHECKING:
     from figdoor_kernel._dispatcher import Dispatcher
 
+MIN_WAIT_MS = 100
+
 
 class Exchange:
     """One call from its opening to its outcome."""
@@ -65,8 +67,9 @@
             return self._finish
         routed = self.routed
         if self._attempt is not None and routed is not None:
-            # A second attempt beside the first could run the call twice.
-            return Wait(routed.deadline_ms)
+            # A second attempt beside the first could run the call twice. The
+            # time is never now, or the front end would ask without a pause.
+            return Wait(max(routed.deadline_ms, now_ms + MIN_WAIT_MS))
         self._is_waiting = False
         if routed is None:
             has_tables = self._dispatcher.node.tables is not None
--- a/tests/gateway/upstreams/test_transport.py
+++ b/tests/gateway/upstreams/test_transport.py
@@ -16,7 +16,7 @@
 from figdoor_gateway import loop
 from figdoor_gateway.protocols import OutboundRequest
 from figdoor_gateway.upstreams import HttpUpstreamTransport
-from figdoor_kernel import ConnectionsClosed, UpstreamId
+from figdoor_kernel import ConnectionsClosed, Extension, UpstreamId
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
 POOLS = """
@@ -57,7 +57,7 @@
     def __init__(self, monkeypatch, connections=2, nodes=1):
         self.reactor = MemoryReactorClock()
         monkeypatch.setattr(loop, 'reactor', self.reactor)
-        self.node = make_node(clock=ManualClock(self.reactor))
+        self.node = make_node('n0', ManualClock(self.reactor))
         self.node.settings = make_settings()
         self.set_nodes(nodes)
         give_tables(
@@ -74,6 +74,11 @@
         rows.extend(node_vm(f'n{number}') for number in range(count))
         give_vms(self.node, *rows)
 
+    @property
+    def limit(self):
+        limits = self.node.part(Extension.SERVICE, 'connection-limits')
+        return limits.limit(self.node.fleet.find(UpstreamId('w1')))
+
     def send(self, name='w1', allowed=True):
         receiver = Receiver(allowed)
         request = OutboundRequest(b'GET', b'/', [], b'', True, 0)
@@ -109,17 +114,17 @@
 
     def test_limit_is_shared_by_the_listed_nodes(self, monkeypatch):
         rig = Rig(monkeypatch, connections=9, nodes=4)
-        assert rig.transport.limit_of('work') == 2
+        assert rig.limit == 2
         rig.set_nodes(0)
-        assert rig.transport.limit_of('work') == 9
+        assert rig.limit == 9
         rig.set_nodes(100)
-        assert rig.transport.limit_of('work') == 1
+        assert rig.limit == 1
 
     def test_newer_table_changes_the_limit(self, monkeypatch):
         rig = Rig(monkeypatch, connections=9)
-        assert rig.transport.limit_of('work') == 9
+        assert rig.limit == 9
         give_tables(rig.node, tables(2, pools=POOLS.format(5)))
-        assert rig.transport.limit_of('work') == 5
+        assert rig.limit == 5
 
     def test_oldest_surplus_is_closed_when_the_limit_shrinks(self, monkeypatch):
         rig = Rig(monkeypatch, connections=3)
--- a/tests/kernel/test_dispatcher.py
+++ b/tests/kernel/test_dispatcher.py
@@ -97,6 +97,9 @@
         first = self.begin(exchange)
         step = exchange.next_step(self.clock.now_ms())
         assert isinstance(step, Wait)
+        self.clock.advance_ms(5000)
+        late = exchange.next_step(self.clock.now_ms())
+        assert late.until_ms > self.clock.now_ms()
         assert first.upstream.in_flight == 1
         assert exchange.attempts_made == 1
 
