--- a/bench/path.py
+++ b/bench/path.py
@@ -92,6 +92,7 @@
         )
         deployment.add_gateway('g1', 'z1')
         deployment.wait_ready()
+        deployment.wait_answering('/work')
         for size in FLAGS.sizes:
             deployment.upstreams[0].control(answer_bytes=size)
             for connections in FLAGS.connections:
