Keep the gateway on one thread

Cause: a running gateway had three threads. Twisted's resolver is asked even for IP numbers and uses a thread pool, for reads of the platform and probes. The timers of a proxied call have names, and tests of a lost attempt stand in one class. Conclusion: a process test guards it. A platform that is named by a host name still uses the resolver's threads.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -53,14 +53,15 @@
         self._is_late = False
         self._is_over = False
         self._has_failed = False
-        self._timers: list[Timer | None] = [None, None]
+        self._deadline_timer: Timer | None = None
+        self._wait_timer: Timer | None = None
 
     def start(self) -> None:
         """Begin the first attempt."""
         routed = self._exchange.routed
         if routed is not None:
             left_ms = routed.deadline_ms - self._clock.now_ms()
-            self._timers[0] = call_later(left_ms, self._on_deadline)
+            self._deadline_timer = call_later(left_ms, self._on_deadline)
         if not self._request.body_complete:
             self._upload = Upload(self._connection, self._request)
         self._advance()
@@ -159,13 +160,13 @@
     def _advance(self) -> None:
         if self._is_over:
             return
-        cancel(self._timers[1])
+        cancel(self._wait_timer)
         step = self._exchange.next_step(self._clock.now_ms())
         if isinstance(step, Send):
             self._send(step)
         elif isinstance(step, Wait):
             left_ms = step.until_ms - self._clock.now_ms()
-            self._timers[1] = call_later(left_ms, self._advance)
+            self._wait_timer = call_later(left_ms, self._advance)
         else:
             self._end()
             self._delivery.tell(step, self._is_late)
@@ -228,7 +229,7 @@
 
     def _end(self) -> None:
         self._is_over = True
-        for timer in self._timers:
-            cancel(timer)
+        cancel(self._deadline_timer)
+        cancel(self._wait_timer)
         if self._upload is not None:
             self._upload.end()
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -3,16 +3,17 @@
 import json
 from typing import Any
 
-from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
+from twisted.web.client import ResponseDone
 
+from figdoor_gateway.agents import make_client
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_kernel import FigdoorError
 
 MAX_ANSWER_BYTES = 4_000_000
+CONNECT_TIMEOUT_MS = 1000
 _OK = 200
 _NOTHING_NEWER = frozenset((204, 304))
 
@@ -25,11 +26,8 @@
     """Gets JSON values; everything that goes wrong is a failure."""
 
     def __init__(self, base_url: str) -> None:
-        """Keep connections, and resend nothing on our own."""
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
-        # Resending would escape the limit on reads of the service.
-        self._pool.retryAutomatically = False
-        self._http = HTTPClient(Agent(reactor, pool=self._pool))
+        """Keep connections."""
+        self._http = make_client(CONNECT_TIMEOUT_MS, persistent=True)
         self._base_url = base_url
         self._etags: dict[str, str] = {}
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/probing/_load_probes.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/probing/_load_probes.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from loguru import logger
-from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import readBody
 
+from figdoor_gateway.agents import make_client
 from figdoor_gateway.headers import LOAD, read_load_report
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_kernel import (
@@ -32,7 +32,7 @@
     def __init__(self, node: Node, http: Any = None) -> None:
         """Wait for probes that are wanted; ``http`` is a client like treq."""
         self._node = node
-        self._http = http or _make_client()
+        self._http = http or make_client(PROBE_TIMEOUT_MS, persistent=False)
         self._running: set[Deferred[None]] = set()
         node.events.subscribe(ProbeWanted, self._on_wanted)
 
@@ -84,11 +84,3 @@
             ReportSeen(upstream.upstream_id, report, now_ms),
         )
         return True
-
-
-def _make_client() -> HTTPClient:
-    pool = HTTPConnectionPool(reactor, persistent=False)
-    # Resending would escape the measuring budget.
-    pool.retryAutomatically = False
-    timeout_s = PROBE_TIMEOUT_MS / MS_PER_SECOND
-    return HTTPClient(Agent(reactor, connectTimeout=timeout_s, pool=pool))
--- a/tests/kernel/test_dispatcher.py
+++ b/tests/kernel/test_dispatcher.py
@@ -62,6 +62,12 @@
         assert exchange.confirm_send(self.clock.now_ms())
         return step
 
+    def lose_first(self):
+        exchange = self.open()
+        self.begin(exchange)
+        exchange.end(NOTHING, self.clock.now_ms())
+        return exchange
+
     def test_lost_non_idempotent_call_is_unknown_and_not_resent(self):
         exchange = self.open(operation='POST')
         self.begin(exchange)
@@ -77,20 +83,30 @@
         assert second.upstream is not first.upstream
 
     def test_lost_call_is_never_told_not_run_when_its_retry_is_refused(self):
-        exchange = self.open()
-        self.begin(exchange)
-        exchange.end(NOTHING, self.clock.now_ms())
+        exchange = self.lose_first()
         self.clock.advance_ms(self.node.options.lease_ms + 1)
         step = exchange.next_step(self.clock.now_ms())
         assert step.outcome is Outcome.UNKNOWN
 
-    def test_lost_call_is_never_told_not_run_when_its_retry_is_shed(self):
-        exchange = self.open()
-        for state in (AttemptState.LOST, AttemptState.SHED):
-            self.begin(exchange)
-            exchange.end(AttemptResult(state), self.clock.now_ms())
+    def test_no_upstream_left_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        give_vms(self.node)
         step = exchange.next_step(self.clock.now_ms())
-        assert step.outcome is Outcome.UNKNOWN
+        assert step == Finish(Outcome.UNKNOWN, Refusal.NO_UPSTREAM)
+
+    def test_shed_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        self.begin(exchange)
+        shed = AttemptResult(AttemptState.SHED, final=True)
+        exchange.end(shed, self.clock.now_ms())
+        step = exchange.next_step(self.clock.now_ms())
+        assert step == Finish(Outcome.UNKNOWN)
+
+    def test_deadline_between_attempts_after_a_loss_is_unknown(self):
+        exchange = self.lose_first()
+        exchange.abandon(self.clock.now_ms())
+        step = exchange.next_step(self.clock.now_ms())
+        assert step == Finish(Outcome.UNKNOWN, Refusal.DEADLINE)
 
     def test_late_permit_starts_no_second_attempt_beside_the_first(self):
         exchange = self.open(operation='POST')
@@ -187,47 +203,3 @@
         attempt.send()
         with pytest.raises(NoTransition):
             attempt.fail_unsent()
-
-
-class TestOutcomeAfterLoss:
-    """Not run may be told only when no attempt can have run the call."""
-
-    def setup_method(self):
-        self.node = make_node()
-        self.clock = self.node.clock
-        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2', 'z2'))
-        give_tables(self.node)
-
-    def begin(self, exchange):
-        assert isinstance(exchange.next_step(self.clock.now_ms()), Send)
-        assert exchange.confirm_send(self.clock.now_ms())
-
-    def lose_first(self):
-        exchange = Dispatcher(self.node).open(
-            make_call(),
-            self.clock.now_ms(),
-            lambda: None,
-        )
-        self.begin(exchange)
-        exchange.end(NOTHING, self.clock.now_ms())
-        return exchange
-
-    def test_no_upstream_left_after_a_loss_is_unknown(self):
-        exchange = self.lose_first()
-        give_vms(self.node)
-        step = exchange.next_step(self.clock.now_ms())
-        assert step == Finish(Outcome.UNKNOWN, Refusal.NO_UPSTREAM)
-
-    def test_shed_after_a_loss_is_unknown(self):
-        exchange = self.lose_first()
-        self.begin(exchange)
-        shed = AttemptResult(AttemptState.SHED, final=True)
-        exchange.end(shed, self.clock.now_ms())
-        step = exchange.next_step(self.clock.now_ms())
-        assert step == Finish(Outcome.UNKNOWN)
-
-    def test_deadline_between_attempts_after_a_loss_is_unknown(self):
-        exchange = self.lose_first()
-        exchange.abandon(self.clock.now_ms())
-        step = exchange.next_step(self.clock.now_ms())
-        assert step == Finish(Outcome.UNKNOWN, Refusal.DEADLINE)
--- a/tests/processes/test_gateway_failures.py
+++ b/tests/processes/test_gateway_failures.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import time
+from pathlib import Path
 
 import pytest
 from process_times import SETTLE_S
@@ -46,6 +47,13 @@
     return int(lines[b'content-length']) == len(body)
 
 
+class TestThreads:
+    def test_gateway_that_reads_the_platform_has_one_thread(self, site):
+        for gateway in site.gateways:
+            tasks = Path(f'/proc/{gateway.child.pid}/task')
+            assert len(list(tasks.iterdir())) == 1
+
+
 class TestStop:
     def test_sigterm_cuts_no_request_in_progress(self, site, extra_gateway):
         site.behave(service_ms=300)
