Tell unknown when deciding about a call fails

Change: the front end logs it and tells unknown, which is true whatever was sent before. Conclusion: the test fails before and passes after. A fault in the checks right before sending is not covered and stated in docs/promises.md.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -2,6 +2,8 @@
 
 from typing import TYPE_CHECKING
 
+from loguru import logger
+
 from figdoor_gateway.frontend._checks import BadRequestError
 from figdoor_gateway.frontend._delivery import Delivery
 from figdoor_gateway.frontend._outbound import make_outbound
@@ -15,6 +17,7 @@
     Finish,
     Outcome,
     Send,
+    Step,
     Wait,
 )
 
@@ -161,7 +164,7 @@
         if self._is_over:
             return
         cancel(self._wait_timer)
-        step = self._exchange.next_step(self._clock.now_ms())
+        step = self._next_step()
         if isinstance(step, Send):
             self._send(step)
         elif isinstance(step, Wait):
@@ -171,6 +174,15 @@
             self._end()
             self._delivery.tell(step, self._is_late)
 
+    def _next_step(self) -> Step:
+        try:
+            return self._exchange.next_step(self._clock.now_ms())
+        except Exception:
+            # A fault of one plug-in must not leave a caller without an
+            # outcome, and unknown is true whatever was sent.
+            logger.exception('deciding about a call failed')
+            return Finish(Outcome.UNKNOWN)
+
     def _send(self, step: Send) -> None:
         self._attempts += 1
         attempt = self._attempts
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -83,6 +83,13 @@
         names = [name for name, _ in rig.sendings[0].request.headers]
         assert names == [b'host', b'figdoor-deadline-ms', b'figdoor-attempt']
 
+    def test_fault_of_a_rule_is_told_as_unknown(self, rig, monkeypatch):
+        rule = rig.front_end.dispatcher.candidate_rules[0]
+        monkeypatch.setattr(type(rule), 'judge', lambda *_: 1 / 0)
+        _, wire = rig.request()
+        assert wire.value().startswith(b'HTTP/1.1 502')
+        assert b'figdoor-outcome: unknown' in wire.value()
+
     def test_lost_post_is_unknown_and_sent_once(self, rig):
         _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
         rig.sendings[0].receiver.lost(connection_died=True)
