--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
@@ -11,6 +11,7 @@
     Node,
     Revision,
     RevisionAccepted,
+    Service,
     Tables,
     TablesAccepted,
     TablesOffered,
@@ -32,7 +33,7 @@
         """Return what the node waits for, or ``None``."""
 
 
-class Acceptance:
+class Acceptance(Service):
     """Decides about each offered pair of tables.
 
     The pair with the highest revision that has no findings is in force. A
@@ -55,12 +56,6 @@
         node.events.subscribe(TablesOffered, self._on_offered)
         node.events.subscribe(Tick, self._on_tick)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     @property
     def revision(self) -> Revision:
         """The revision in force, 0 before the first."""
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -6,11 +6,12 @@
     Refusal,
     Revision,
     RoutedCall,
+    Service,
     ServiceConfirmed,
 )
 
 
-class ConfigLease:
+class ConfigLease(Service):
     """Remembers the latest point in time at which the tables were confirmed.
 
     A read of the service confirms the time at which it began, so that an
@@ -31,12 +32,6 @@
         self.confirmed_at_ms: float | None = None
         node.events.subscribe(ServiceConfirmed, self._on_confirmed)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def confirm(self, at_ms: float) -> None:
         """Note that the tables were confirmed as of ``at_ms``."""
         if self._is_superseded(at_ms):
--- a/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
@@ -9,6 +9,7 @@
     Extension,
     Node,
     NodeId,
+    Service,
     ServiceName,
     TablesAccepted,
     Tick,
@@ -31,7 +32,7 @@
     since_ms: float
 
 
-class Homes:
+class Homes(Service):
     """Knows the home node of each upstream and how long it has been the same.
 
     Assignments are computed on first use and then kept up to date: a new
@@ -53,12 +54,6 @@
         node.events.subscribe(TablesAccepted, self._on_tables)
         node.events.subscribe(Tick, self._on_tick)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def home_of(self, upstream_id: UpstreamId) -> NodeId | None:
         """Return the home node by the current VM list."""
         found = self._assignment(upstream_id)
--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_connections.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_connections.py
@@ -5,6 +5,7 @@
 from figdoor_kernel import (
     Extension,
     Node,
+    Service,
     TablesAccepted,
     Upstream,
     UpstreamId,
@@ -12,7 +13,7 @@
 )
 
 
-class ConnectionLimits:
+class ConnectionLimits(Service):
     """Answers upstream transports, which ask before they open another one.
 
     For example ``node.part(Extension.SERVICE, 'connection-limits')``.
@@ -26,12 +27,6 @@
         node.events.subscribe(TablesAccepted, self._forget)
         node.events.subscribe(VmListChanged, self._forget)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def limit(self, upstream: Upstream) -> int:
         """Return the limit, 0 where no pool in force uses the upstream.
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_sharing.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_sharing.py
@@ -6,6 +6,7 @@
 from figdoor_kernel import (
     Node,
     NodeId,
+    Service,
     ServiceName,
     Upstream,
     UpstreamId,
@@ -15,7 +16,7 @@
 _Members = tuple[Upstream, ...]
 
 
-class Sharing:
+class Sharing(Service):
     """Knows the subsets of all listed nodes.
 
     They follow from the VM list alone. A service is worked out when it is
@@ -30,12 +31,6 @@
         self._counts: dict[ServiceName, Mapping[UpstreamId, int]] = {}
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def nodes_at(self, upstream: Upstream) -> int:
         """Return how many nodes use an upstream, 0 if this one does not."""
         counts = self._counts.get(upstream.service)
--- a/packages/figdoor-decisions/src/figdoor_decisions/measuring/_prober.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_prober.py
@@ -7,6 +7,7 @@
 from figdoor_kernel import (
     Node,
     ProbeWanted,
+    Service,
     TablesAccepted,
     Tick,
     Upstream,
@@ -19,7 +20,7 @@
 RECHECK_MS = 2000.0
 
 
-class Prober:
+class Prober(Service):
     """Holds a bucket of one token for each upstream.
 
     Buckets start empty, so that a node that is replaced again and again
@@ -43,12 +44,6 @@
         node.events.subscribe(TablesAccepted, self._on_tables)
         node.events.subscribe(Tick, self._on_tick)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def _on_tables(self, event: TablesAccepted) -> None:
         """Read budgets; pools of one service share its lowest budget."""
         self._budgets = {}
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_flooding.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_flooding.py
@@ -21,6 +21,7 @@
     PeerMessageReceived,
     PeerMessageWanted,
     RevisionAccepted,
+    Service,
     UpstreamDraining,
     UpstreamTurnedCold,
 )
@@ -40,7 +41,7 @@
     since_ms: float
 
 
-class Flooding:
+class Flooding(Service):
     """Passes each piece of news on along every edge when it is first seen.
 
     News that a promise depends on is kept for ``evidence_ms``. Heartbeats
@@ -62,12 +63,6 @@
         node.events.subscribe(NewsWanted, self._on_wanted)
         node.events.subscribe(PeerMessageReceived, self._on_message)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def recent(self, since_ms: float) -> tuple[int, ...]:
         """Return the newest kept news seen since then, oldest first."""
         found = [
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
@@ -5,13 +5,14 @@
     Extension,
     Node,
     Revision,
+    Service,
     ServiceConfirmed,
     TablesAccepted,
     Tick,
 )
 
 
-class Joining:
+class Joining(Service):
     """Holds the first tables back until the node knows the newest revision.
 
     A neighbour that acknowledges with revision 0 has not joined itself. One
@@ -34,12 +35,6 @@
         node.events.subscribe(ServiceConfirmed, self._on_confirmed)
         node.events.subscribe(TablesAccepted, self._on_accepted)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def may_accept(self, revision: Revision, now_ms: float) -> bool:
         """Return whether tables of this revision may come into force."""
         return self.joined or self.missing(revision, now_ms) is None
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_neighbours.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_neighbours.py
@@ -6,6 +6,7 @@
     Node,
     NodeId,
     PeerMessageReceived,
+    Service,
     VmListChanged,
 )
 
@@ -13,7 +14,7 @@
 MAX_HEARD = 64
 
 
-class Neighbours:
+class Neighbours(Service):
     """Knows the neighbours on the ring and the nodes that send heartbeats.
 
     A node that has just started is on its own ring but perhaps on none of the
@@ -30,12 +31,6 @@
         node.events.subscribe(VmListChanged, self._on_vm_list)
         node.events.subscribe(PeerMessageReceived, self._on_message)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def edges(self, now_ms: float) -> tuple[NodeId, ...]:
         """Return all nodes that news is sent to."""
         oldest_ms = now_ms - HEARD_HEARTBEATS * self._node.options.heartbeat_ms
--- a/packages/figdoor-decisions/src/figdoor_decisions/reading/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/reading/_plan.py
@@ -9,6 +9,7 @@
     Extension,
     Node,
     NodeId,
+    Service,
     ServiceConfirmed,
     ServiceFailed,
     Tick,
@@ -39,7 +40,7 @@
     wait_ms: float
 
 
-class ReadingPlan:
+class ReadingPlan(Service):
     """Lets two nodes per zone watch, and the others read when in need.
 
     A node that holds no watch reads only while it has no tables or its lease
@@ -64,12 +65,6 @@
         node.events.subscribe(ServiceConfirmed, self._on_confirmed)
         node.events.subscribe(ServiceFailed, self._on_failed)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def next_tables_read(self, now_ms: float) -> TablesRead | None:
         """Return the read to start now; ask only while none is under way."""
         if now_ms < self._next_ms:
--- a/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
@@ -2,7 +2,7 @@
 
 from enum import Enum, unique
 
-from figdoor_kernel import Node
+from figdoor_kernel import Node, Service
 
 STOP_MARGIN_MS = 1000
 DEADLINE_WITHOUT_TABLES_MS = 30_000
@@ -19,7 +19,7 @@
     DONE = 'done'
 
 
-class StopPlan:
+class StopPlan(Service):
     """Says when to close the listener and when nothing is in progress.
 
     During the grace the node is unready but still takes requests, because
@@ -34,12 +34,6 @@
         self._grace_end_ms: float | None = None
         self._bound_end_ms: float = 0
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     @property
     def has_begun(self) -> bool:
         """Whether the node was asked to stop."""
--- a/packages/figdoor-decisions/src/figdoor_decisions/suspects/_suspects.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/suspects/_suspects.py
@@ -12,6 +12,7 @@
     Node,
     ReportSeen,
     RoutedCall,
+    Service,
     UpstreamId,
 )
 
@@ -29,7 +30,7 @@
 MAX_ANSWERED = 10_000
 
 
-class Suspects:
+class Suspects(Service):
     """Counts the deaths at which each request was in flight.
 
     A full answer clears the request: its deaths count from then on anew.
@@ -50,12 +51,6 @@
         """Return how many requests are suspects."""
         return len(self._deaths)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def is_quarantined(self, routed: RoutedCall, now_ms: float) -> bool:
         """Return whether the call must not be run now."""
         suspect = _suspect(routed)
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_allowance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_allowance.py
@@ -12,6 +12,7 @@
     NewsWanted,
     Node,
     ReportSeen,
+    Service,
     Upstream,
     UpstreamId,
     UpstreamTurnedCold,
@@ -19,7 +20,7 @@
 )
 
 
-class ColdAllowance:
+class ColdAllowance(Service):
     """Owns the allowances of the upstreams whose home this node is."""
 
     def __init__(self, node: Node) -> None:
@@ -35,12 +36,6 @@
         node.events.subscribe(NewsReceived, self._on_news)
         node.events.subscribe(ReportSeen, self._on_report)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def has_room(
         self,
         upstream: Upstream,
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
@@ -9,6 +9,7 @@
     InstanceId,
     NewsWanted,
     Node,
+    Service,
     Upstream,
     UpstreamId,
     UpstreamState,
@@ -21,7 +22,7 @@
 _VOUCHABLE = frozenset((UpstreamState.WARMING, UpstreamState.SERVING))
 
 
-class WarmthEvidence:
+class WarmthEvidence(Service):
     """Keeps one record per upstream that this node had to do with.
 
     A claim alone is not evidence: between the claim and the first request
@@ -38,12 +39,6 @@
         self._cold_hooks: list[ColdHook] = []
         self._watch = EvidenceWatch(node, self)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def on_cold(self, hook: ColdHook) -> None:
         """Call ``hook`` with each upstream and instance that turns cold."""
         self._cold_hooks.append(hook)
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_granting.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_granting.py
@@ -13,6 +13,7 @@
     PermitAnswer,
     PermitRequest,
     PermitReturn,
+    Service,
 )
 
 # The token of a message that returns no permit: a node that serves by its own
@@ -20,7 +21,7 @@
 VOUCH_TOKEN_MS: float = 0
 
 
-class PermitGranter:
+class PermitGranter(Service):
     """Grants permits and takes them back."""
 
     def __init__(self, node: Node) -> None:
@@ -37,12 +38,6 @@
         )
         node.events.subscribe(PeerMessageReceived, self._on_message)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def _on_message(self, event: PeerMessageReceived) -> None:
         match event.message:
             case PermitRequest():
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_vouching.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_vouching.py
@@ -10,6 +10,7 @@
     Node,
     PeerMessageWanted,
     PermitReturn,
+    Service,
     UpstreamId,
 )
 
@@ -17,7 +18,7 @@
 VOUCHES_PER_LIFETIME = 9
 
 
-class Vouching:
+class Vouching(Service):
     """Tells the home node now and then that an upstream is warm.
 
     A new home node, or one without callers, has no evidence of its own. It
@@ -36,12 +37,6 @@
         self._next_ms: dict[UpstreamId, float] = {}
         node.events.subscribe(AttemptEnded, self._on_ended)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def _on_ended(self, event: AttemptEnded) -> None:
         if event.state is not AttemptState.ANSWERED or event.failed:
             return
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
@@ -26,11 +26,6 @@
         self._request = request
         self._writer: AnswerWriter | None = None
 
-    @property
-    def has_head(self) -> bool:
-        """Whether the head of an upstream's answer was taken."""
-        return self._writer is not None
-
     @property
     def has_begun(self) -> bool:
         """Whether a part of the answer has left for the caller."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -13,7 +13,7 @@
 TICK_MS = 50
 
 
-class Lifecycle:
+class Lifecycle(Service):
     """Runs all parts from the start to the end of the process."""
 
     def __init__(self, node: Node) -> None:
@@ -24,12 +24,6 @@
         self._on_stopped: Callable[[], None] | None = None
         self._is_closed = False
 
-    def start(self) -> None:
-        """Need no start of its own."""
-
-    def stop(self) -> None:
-        """Need no stop of its own."""
-
     def run(self) -> None:
         """Start all parts, the front end last."""
         for part in self._running_parts():
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
@@ -5,11 +5,12 @@
     Node,
     NodeState,
     NodeStateChanged,
+    Service,
     Tick,
 )
 
 
-class Readiness:
+class Readiness(Service):
     """Keeps the node's state and the reasons why it is not ready."""
 
     def __init__(self, node: Node) -> None:
@@ -20,12 +21,6 @@
         self.state = NodeState.STARTING
         node.events.subscribe(Tick, self._on_tick)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def move(self, state: NodeState, now_ms: float) -> None:
         """Change the state and tell all parts."""
         if state is not self.state:
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -15,6 +15,7 @@
     CallClosed,
     Node,
     ProbeWanted,
+    Service,
     TablesAccepted,
     Tick,
     VmListChanged,
@@ -45,7 +46,7 @@
 _OUTCOME = 'outcome'
 
 
-class Metrics:
+class Metrics(Service):
     """Follows the events and renders them on demand."""
 
     def __init__(self, node: Node) -> None:
@@ -66,12 +67,6 @@
         node.events.subscribe(TablesAccepted, self._on_tables)
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
-    def start(self) -> None:
-        """Need no start."""
-
-    def stop(self) -> None:
-        """Need no stop."""
-
     def render(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         self._gauges.read()
--- a/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
@@ -109,7 +109,10 @@
 
 
 class Service(Protocol):
-    """A part that runs as long as the node."""
+    """A part that runs as long as the node.
+
+    A part that only follows events inherits both methods, which do nothing.
+    """
 
     def start(self) -> None:
         """Begin; called once after all parts were built."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_states.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_states.py
@@ -23,7 +23,6 @@
     DEADLINE = 'deadline'
     TENANT_SHARE = 'tenant-share'
     QUARANTINED = 'quarantined'
-    RETRIES_SPENT = 'retries-spent'
 
 
 @unique
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -40,7 +40,6 @@
     Refusal.DEADLINE: 'the time left was too short for an attempt',
     Refusal.TENANT_SHARE: 'the tenant uses more than its share of a busy pool',
     Refusal.QUARANTINED: 'such requests killed the upstreams that ran them',
-    Refusal.RETRIES_SPENT: 'no retry was left in the budget of the route',
 }
 
 
