Answer requests that wait unread when a gateway stops

The listener was closed while connections waited in its accept queue, and kept connections were closed while a request waited unread in their socket; the system resets both. A caller that reconnects during the grace hits this by chance.

Change: a closing front end first lets no new connection begin (a filter on the listening socket drops SYN segments), goes on accepting what had begun, and closes listener and connections only when nothing waits in them. A connection that has never carried a request gets 1 s for its first.

Ruled out: upstream time-outs and the bound of the stop (the cut callers got no byte, and the gateway logged no cut). Accepting once more before the close only makes the window smaller; shutdown() of a listener resets its queue as well.

Conclusion: what has reached the node is answered. A request that is still on the network when an idle kept connection closes is not.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
@@ -12,7 +12,7 @@
 from figdoor_gateway.frontend._intake import Intake
 from figdoor_gateway.frontend._proxying import ProxiedCall
 from figdoor_gateway.loop import Timer, call_later, cancel
-from figdoor_gateway.sockets import write_now
+from figdoor_gateway.sockets import is_readable, write_now
 
 if TYPE_CHECKING:
     from figdoor_gateway.frontend._server import HttpFrontEnd
@@ -20,6 +20,8 @@
 # Closing a socket with unread data resets it, which can destroy the answer on
 # its way; what a caller still sends is read and dropped for this long.
 LINGER_MS = 1000
+# A caller that has just connected is about to send its first request.
+FIRST_REQUEST_MS = 1000
 _TIMED_OUT = BadRequestError(408, b'Request Timeout')
 
 
@@ -42,6 +44,7 @@
         self._last_active_ms = front_end.clock.now_ms()
         self._head_begun_ms: float | None = None
         self._closing = False
+        self._was_used = False
         self._is_starting = False
         self._linger_timer: Timer | None = None
 
@@ -71,6 +74,7 @@
         """Parse and start the next request."""
         if self._closing:
             return
+        self._was_used = True
         intake = self._intake
         intake.feed(data)
         self._note_activity()
@@ -131,6 +135,14 @@
         self.transport.loseWriteConnection()
         self._linger_timer = call_later(LINGER_MS, self.abort)
 
+    def close_if_unused(self, now_ms: float) -> None:
+        """Close a connection on which no request is on its way."""
+        if self._closing or self.is_busy or is_readable(self.transport):
+            return
+        silent_ms = now_ms - self._last_active_ms
+        if self._was_used or silent_ms >= FIRST_REQUEST_MS:
+            self.close()
+
     def abort(self) -> None:
         """Close at once, so that a cut answer does not look complete."""
         self._closing = True
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
@@ -10,9 +10,14 @@
 from figdoor_gateway.frontend._connection import CallerConnection
 from figdoor_gateway.loop import BACKLOG, reactor
 from figdoor_gateway.protocols import UpstreamTransport
+from figdoor_gateway.sockets import is_readable, refuse_new_connections
 from figdoor_kernel import Clock, Dispatcher, Extension, Node
 
 SWEEP_INTERVAL_S = 1
+# How often a closing front end looks for connections that it can close.
+CLOSE_INTERVAL_S = 0.05
+# Handshakes that have begun complete in this time.
+HANDSHAKE_MS = 100
 
 
 class HttpFrontEnd(Factory):
@@ -35,6 +40,8 @@
         self._port: Any = None
         self._on_idle: Callable[[], None] | None = None
         self._sweeper = LoopingCall(self._sweep)
+        self._closer = LoopingCall(self._close_step)
+        self._listener_end_ms: float | None = None
 
     @property
     def busy_count(self) -> int:
@@ -45,12 +52,13 @@
     def unfinished_count(self) -> int:
         """How many connections have an answer still to come or to leave.
 
-        Once the listener is closed, each open connection is one: the end of
-        its answer may still be on its way to a slow caller.
+        Once the front end closes, each open connection is one: the end of its
+        answer may still be on its way to a slow caller. So is the listener,
+        which may hold connections that were not accepted yet.
         """
-        if self._port is None:
-            return len(self._connections)
-        return self.busy_count
+        if self._listener_end_ms is None:
+            return self.busy_count
+        return len(self._connections) + (self._port is not None)
 
     def buildProtocol(self, addr: object) -> Protocol | None:  # noqa: N802
         """Take a connection, unless there are too many."""
@@ -75,16 +83,17 @@
         self.is_draining = True
 
     def close(self, on_idle: Callable[[], None]) -> None:
-        """Close the listener and call back once nothing is in progress."""
+        """Close the listener and call back once nothing is in progress.
+
+        Requests that have arrived and were not read yet are in progress too,
+        so listener and connections close only when nothing waits in them.
+        """
         self.is_draining = True
         self._on_idle = on_idle
+        self._listener_end_ms = self.clock.now_ms() + HANDSHAKE_MS
         if self._port is not None:
-            self._port.stopListening()
-            self._port = None
-        for connection in tuple(self._connections):
-            if not connection.is_busy:
-                connection.close()
-        self._note_idle()
+            refuse_new_connections(self._port.socket)
+        self._closer.start(CLOSE_INTERVAL_S)
 
     def abort(self) -> None:
         """End everything that is still in progress."""
@@ -105,13 +114,26 @@
         """Count a request that was refused as malformed."""
         self.malformed_count += 1
 
+    def _close_step(self) -> None:
+        now_ms = self.clock.now_ms()
+        for connection in tuple(self._connections):
+            connection.close_if_unused(now_ms)
+        if self._port is not None:
+            self._close_listener(now_ms)
+        self._note_idle()
+
+    def _close_listener(self, now_ms: float) -> None:
+        is_due = now_ms >= (self._listener_end_ms or 0)
+        if is_due and not is_readable(self._port):
+            self._port.stopListening()
+            self._port = None
+
     def _note_idle(self) -> None:
-        # Waits for the connections and not just for their requests: the end
-        # of an answer may still be on its way to a slow caller.
-        if self._on_idle is None or self._connections:
+        if self._on_idle is None or self.unfinished_count:
             return
         on_idle = self._on_idle
         self._on_idle = None
+        self._closer.stop()
         on_idle()
 
     def _sweep(self) -> None:
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -24,6 +24,12 @@
 work, work,    z1,                 64,    250,         64,         2
 """
 
+STOP_GRACE_MS = 1000
+
+# So many requests of a caller have run when its load counts as begun; a fixed
+# wait was too short for the caller to start on a busy machine.
+LOAD_REQUESTS = 8
+
 GOOD = {
     'service_ms': 2,
     'answer_bytes': 0,
@@ -60,6 +66,7 @@
             vm_id,
             'z1',
             chooser='round-robin',
+            stop_grace_ms=STOP_GRACE_MS,
         )
 
     @property
@@ -92,6 +99,19 @@
             **{**defaults, **options},
         )
 
+    def start_load(self, ports=None, **options):
+        """Start callers and wait until upstreams run their requests."""
+        caller = self.start(ports, **options)
+        prefix = f'run{self.runs}-'
+        wait_until(
+            lambda: self._count_runs(prefix) >= LOAD_REQUESTS,
+            what='requests run',
+        )
+        return caller
+
+    def _count_runs(self, prefix):
+        return sum(one.startswith(prefix) for one in self.executions())
+
     def executions(self):
         """Return how often each request id was run, ended upstreams too."""
         counts = Counter()
--- a/tests/processes/test_gateway_failures.py
+++ b/tests/processes/test_gateway_failures.py
@@ -6,7 +6,6 @@
 from pathlib import Path
 
 import pytest
-from process_times import SETTLE_S
 
 from figdoor_standins.processes import HOST, http, wait_until
 
@@ -58,8 +57,9 @@
     def test_sigterm_cuts_no_request_in_progress(self, site, extra_gateway):
         site.behave(service_ms=300)
         try:
-            caller = site.start([extra_gateway.port], requests=64, seconds=2)
-            time.sleep(SETTLE_S)
+            caller = site.start_load(
+                [extra_gateway.port], requests=64, seconds=2
+            )
             assert extra_gateway.stop() == 0
             counts = site.judge(caller)
         finally:
@@ -84,11 +84,31 @@
         assert is_whole(answer)
         assert extra_gateway.child.wait(20) == 0
 
+    def test_request_that_waits_unread_at_the_close_is_answered(
+        self,
+        site,
+        extra_gateway,
+    ):
+        # The listener closed with connections that it had not accepted, and
+        # kept connections closed with requests that had not been read.
+        head = b'GET /work HTTP/1.1\r\nHost: a\r\n'
+        kept = open_request(extra_gateway.port, head + b'\r\n')
+        assert kept.recv(12) == b'HTTP/1.1 200'
+        extra_gateway.send(signal.SIGTERM)
+        time.sleep(0.1)
+        extra_gateway.send(signal.SIGSTOP)
+        time.sleep(1)  # The grace ends during the pause.
+        with kept, open_request(extra_gateway.port, head + b'\r\n') as fresh:
+            kept.sendall(head + b'Connection: close\r\n\r\n')
+            extra_gateway.send(signal.SIGCONT)
+            assert read_all(kept).count(b'HTTP/1.1 200') == 1
+            assert is_whole(read_all(fresh))
+        assert extra_gateway.child.wait(20) == 0
+
 
 class TestGatewayEnds:
     def test_kill_under_load_runs_nothing_twice(self, site, extra_gateway):
-        caller = site.start([extra_gateway.port], rate=400, seconds=2)
-        time.sleep(SETTLE_S)
+        caller = site.start_load([extra_gateway.port], rate=400, seconds=2)
         extra_gateway.kill()
         counts = site.judge(caller)
         assert counts['answered']
@@ -99,8 +119,7 @@
         site,
         extra_gateway,
     ):
-        caller = site.start([extra_gateway.port], rate=200)
-        time.sleep(SETTLE_S)
+        caller = site.start_load([extra_gateway.port], rate=200)
         extra_gateway.send(signal.SIGSTOP)
         time.sleep(2.5)
         extra_gateway.send(signal.SIGCONT)
--- a/tests/processes/test_upstream_failures.py
+++ b/tests/processes/test_upstream_failures.py
@@ -4,7 +4,6 @@
 import time
 
 import pytest
-from process_times import SETTLE_S
 
 from figdoor_standins.processes import http, wait_until
 
@@ -13,8 +12,7 @@
 
 class TestUpstreamEnds:
     def test_kill_under_load_runs_nothing_twice(self, site, extra_upstream):
-        caller = site.start(rate=400)
-        time.sleep(SETTLE_S)
+        caller = site.start_load(rate=400)
         extra_upstream.kill()
         counts = site.judge(caller)
         assert counts['answered'] > counts.total() / 2
@@ -24,8 +22,7 @@
         site,
         spoilt,
     ):
-        caller = site.start(rate=200)
-        time.sleep(SETTLE_S)
+        caller = site.start_load(rate=200)
         spoilt.send(signal.SIGSTOP)
         time.sleep(1.5)
         spoilt.send(signal.SIGCONT)
@@ -39,8 +36,7 @@
         """Return a function that runs callers while one upstream fails."""
 
         def run(**fields):
-            caller = site.start(requests=200, rate=400)
-            time.sleep(SETTLE_S)
+            caller = site.start_load(requests=200, rate=400)
             site.behave([spoilt], **fields)
             return site.judge(caller)
 
