Wait for the first request before a part fails

Cause: the process tests let a part fail 0.4 s after they started callers. On a machine under load the callers need longer than that to start, so the part was gone before any request: test_gateway_failures.py, kill under load, failed in 3 of 3 runs with nothing told. Change: callers print a line when their first request has ended, and Site.start waits for it. Ruled out: a longer fixed wait, which costs the same time on a quiet machine and fails again on a busier one.

--- a/standins/src/figdoor_standins/caller.py
+++ b/standins/src/figdoor_standins/caller.py
@@ -1,9 +1,10 @@
 """A stand-in caller: sends requests over kept connections and judges answers.
 
 ``python -m figdoor_standins.caller --ports 8080,8081 --connections 16
---requests 1000`` prints one JSON object: what the caller was told for each
-request id, and the quantiles of the latency of answers. Each connection has one request in
-progress; with ``--rate`` the starts are spread evenly over all connections.
+--requests 1000`` prints a line when the first request has ended, and then one
+JSON object: what the caller was told for each request id, and the quantiles of
+the latency of answers. Each connection has one request in progress; with
+``--rate`` the starts are spread evenly over all connections.
 The run ends after ``--requests``, at the latest after ``--seconds``.
 """
 
@@ -70,6 +71,9 @@
     def end(self, request_id, told, latency_s):
         self.told[request_id] = told
         self.ended += 1
+        if self.ended == 1:
+            sys.stdout.write('begun\n')
+            sys.stdout.flush()
         if told == 'answered' and self.ended > FLAGS.warm_up:
             self.latencies.append(latency_s)
         if self.ended >= FLAGS.requests:
--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -168,11 +168,15 @@
             stdout=self.output,
         )
 
+    def has_begun(self):
+        """Tell whether a first request has ended."""
+        return bool(os.fstat(self.output.fileno()).st_size)
+
     def result(self, timeout_s=60):
         """Wait for the end and return what the caller prints."""
         self.child.wait(timeout_s)
         self.output.seek(0)
-        return json.load(self.output)
+        return json.loads(self.output.readlines()[-1])
 
 
 class GatewayProcess(Process):
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -83,14 +83,20 @@
         self.deployment.list_vms()
 
     def start(self, ports=None, **options):
-        """Start callers whose request ids no other run uses."""
+        """Start callers whose request ids no other run uses.
+
+        A failure that came before their first request would show nothing, so
+        this waits for its end.
+        """
         self.runs += 1
         defaults = {'connections': 8, 'requests': 400, 'method': 'POST'}
-        return self.deployment.start_caller(
+        caller = self.deployment.start_caller(
             ports,
             prefix=f'run{self.runs}',
             **{**defaults, **options},
         )
+        wait_until(caller.has_begun, what='first request ended')
+        return caller
 
     def executions(self):
         """Return how often each request id was run, ended upstreams too."""
