Tell the outcome when a check right before sending fails

Cause: an exception in a rule's confirm, or in a subscriber of AttemptSent, went through the upstream transport to the reactor and closed the caller's connection without an outcome. Change: the front end logs it and ends the call as an unsent attempt: not-run, or unknown where an earlier attempt was lost. The exchange notes an attempt as sent only after the subscribers heard of it, so a fault in one leaves it unsent. Ruled out: another attempt elsewhere, which would most likely meet the same fault; telling unknown in all cases, since no byte has left.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -101,7 +101,16 @@
 
     def may_send(self) -> bool:
         """Check all rules right before the first byte leaves."""
-        return self._exchange.confirm_send(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        try:
+            return self._exchange.confirm_send(now_ms)
+        except Exception:
+            # No byte leaves. The call ends here, since another attempt would
+            # most likely meet the same fault of a plug-in.
+            logger.exception('checking a call before sending failed')
+            unsent = AttemptResult(AttemptState.UNSENT_FAILURE, final=True)
+            self._exchange.end(unsent, now_ms)
+            return False
 
     def unsent(self, refused: bool) -> None:
         """Try elsewhere, since no byte left."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -85,7 +85,8 @@
 
         Time may have passed since the choice, in a connection attempt or
         because the process was paused. Where it returns ``False`` the attempt
-        has ended unsent, and ``next_step`` says what follows.
+        has ended unsent, and ``next_step`` says what follows. Where it raises,
+        no byte may leave and the attempt is still to be ended as unsent.
         """
         attempt = self._attempt
         routed = self.routed
@@ -99,7 +100,6 @@
         if not confirmed:
             self.end(AttemptResult(AttemptState.UNSENT_FAILURE), now_ms)
             return False
-        attempt.life.send()
         attempt.sent_ms = now_ms
         self._events.publish(
             AttemptSent(
@@ -109,6 +109,8 @@
                 now_ms,
             ),
         )
+        # Only now, so that an attempt stays unsent where a subscriber fails.
+        attempt.life.send()
         return True
 
     def begin_answer(self) -> None:
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -3,6 +3,8 @@
 import pytest
 from wires import GET, HEAD, FrontEndRig
 
+from figdoor_kernel import AttemptSent
+
 POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
 LARGE = POST + b'Content-Length: 300\r\n\r\n' + b'a' * 200
 CHUNKED = POST + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -90,6 +92,42 @@
         assert wire.value().startswith(b'HTTP/1.1 502')
         assert b'figdoor-outcome: unknown' in wire.value()
 
+    @pytest.mark.parametrize('faulty', ['rule', 'subscriber'])
+    @pytest.mark.parametrize(
+        ('lost_before', 'outcome'),
+        [(False, b'not-run'), (True, b'unknown')],
+    )
+    def test_fault_right_before_the_first_byte(
+        self,
+        rig,
+        monkeypatch,
+        faulty,
+        lost_before,
+        outcome,
+    ):
+        """Guards against a caller without an outcome, or with a wrong one."""
+        rig.upstreams.auto_confirm = False
+        _, wire = rig.request()
+        if lost_before:
+            assert rig.sendings[0].confirm()
+            rig.sendings[0].receiver.lost(connection_died=True)
+        sending = rig.sendings[-1]
+        with monkeypatch.context() as patches:
+            if faulty == 'rule':
+                rule = rig.front_end.dispatcher.candidate_rules[0]
+                patches.setattr(type(rule), 'confirm', lambda *_: 1 / 0)
+            else:
+                handlers = rig.node.events._handlers
+                patches.setitem(handlers, AttemptSent, [lambda _: 1 / 0])
+            assert not sending.confirm()
+            sending.receiver.unsent(refused=False)
+        assert b'figdoor-outcome: %b\r' % outcome in wire.value()
+        assert len(rig.sendings) == 1 + lost_before
+        _, wire = rig.request()
+        assert rig.sendings[-1].confirm()
+        rig.sendings[-1].answer()
+        assert wire.value().startswith(b'HTTP/1.1 200')
+
     def test_lost_post_is_unknown_and_sent_once(self, rig):
         _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
         rig.sendings[0].receiver.lost(connection_died=True)
