--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -168,11 +168,15 @@
             stdout=self.output,
         )
 
+    def has_begun(self):
+        """Tell whether a first request has ended."""
+        return bool(os.fstat(self.output.fileno()).st_size)
+
     def result(self, timeout_s=60):
         """Wait for the end and return what the caller prints."""
         self.child.wait(timeout_s)
         self.output.seek(0)
-        return json.load(self.output)
+        return json.loads(self.output.readlines()[-1])
 
 
 class GatewayProcess(Process):
@@ -309,9 +313,10 @@
         ports = ports or [gateway.port for gateway in self.gateways]
         return self._own(CallerProcess(ports, **options))
 
-    def list_vms(self):
-        """Publish all members as the VM list."""
-        self.platform.list_vms([*self.upstreams, *self.gateways])
+    def list_vms(self, without=()):
+        """Publish all members, but for some, as the VM list."""
+        members = [*self.upstreams, *self.gateways]
+        self.platform.list_vms([one for one in members if one not in without])
 
     def wait_ready(self):
         """Wait until everything answers and gateways want callers."""
