Prove deadlines and retries over 22 levels with processes

Cause: docs/CAPACITY.md says that no run passes more than one level, so nothing showed that retries do not multiply and that deadlines carry on.

Change: the stand-in upstream can call gateways before it answers, with the level counted down and the deadline reduced by the time spent.

--- /dev/null
+++ b/bench/levels.py
@@ -0,0 +1,102 @@
+"""Latency that gateways add to a call that passes them at many levels.
+
+``.venv/bin/python bench/levels.py`` prints the table of the section 'Levels'
+in docs/MEASUREMENTS.md. Each upstream calls the next level before it answers,
+directly or through two gateways, turn by turn, under the same number of calls
+per second over all levels. The added latency is the difference of the
+quantiles; each figure is the median over the repeats, with the lowest and
+highest in brackets.
+"""
+
+from statistics import median
+
+from absl import app, flags
+
+from figdoor_standins.processes import Deployment
+
+FLAGS = flags.FLAGS
+flags.DEFINE_list('levels', ['1', '6', '22'], 'gateways that a call passes')
+flags.DEFINE_integer('repeats', 3, 'runs of each case')
+flags.DEFINE_integer('requests', 600, 'outermost requests of each run')
+flags.DEFINE_integer('rate', 400, 'calls per second over all levels')
+
+WARM_UP = 50
+SLOTS = 200
+QUANTILES = ('p50_ms', 'p99_ms')
+ROUTES = """
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+work,  *,         /,           GET POST,   work, GET,   all,    5000,        20
+"""
+POOLS = f"""
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+*,    ,        z1,                 ,      ,            ,
+work, work,    z1,                 {SLOTS},  250,      {SLOTS},    1
+"""
+
+
+def run_once(deployment, members, levels):
+    """Return quantiles and unanswered requests, all calls to members."""
+    ports = [str(member.port) for member in members]
+    for upstream in deployment.upstreams:
+        upstream.control(call_ports=','.join(ports))
+    seen = deployment.start_caller(
+        ports,
+        connections=16,
+        requests=FLAGS.requests + WARM_UP,
+        rate=FLAGS.rate / levels,
+        warm_up=WARM_UP,
+        levels=levels - 1,
+        seconds=120,
+    ).result(150)
+    told = list(seen['told'].values())
+    return seen, len(told) - told.count('answered')
+
+
+def describe(values):
+    """Return median and spread."""
+    return f'{median(values):.2f} ({min(values):.2f} to {max(values):.2f})'
+
+
+def measure(deployment, levels):
+    """Print the row of one number of levels."""
+    added = {name: [] for name in QUANTILES}
+    direct_ms = []
+    unanswered = 0
+    for _ in range(FLAGS.repeats):
+        direct, _ = run_once(deployment, deployment.upstreams, levels)
+        through, lost = run_once(deployment, deployment.gateways, levels)
+        unanswered += lost
+        direct_ms.append(direct['p99_ms'])
+        for name in QUANTILES:
+            added[name].append(through[name] - direct[name])
+    cells = [str(levels), *map(describe, added.values()), describe(direct_ms)]
+    print('|', ' | '.join(cells), '|', unanswered, '|', flush=True)
+
+
+def main(_):
+    """Measure all cases and print the table."""
+    print(
+        '| levels | p50 added, ms | p99 added, ms | direct p99, ms |'
+        ' not answered |',
+    )
+    print('|---|---|---|---|---|')
+    with Deployment() as deployment:
+        deployment.platform.publish(ROUTES, POOLS)
+        for number in range(3):
+            deployment.add_upstream(
+                f'w{number}',
+                'work',
+                'z1',
+                service_ms=0,
+                slots=SLOTS,
+            )
+        for number in range(2):
+            deployment.add_gateway(f'g{number}', 'z1')
+        deployment.wait_ready()
+        deployment.wait_answering('/work')
+        for levels in FLAGS.levels:
+            measure(deployment, int(levels))
+
+
+if __name__ == '__main__':
+    app.run(main)
--- a/standins/src/figdoor_standins/caller.py
+++ b/standins/src/figdoor_standins/caller.py
@@ -28,6 +28,7 @@
 flags.DEFINE_string('method', 'GET', 'method of the requests')
 flags.DEFINE_string('path', '/work', 'target of the requests')
 flags.DEFINE_integer('body_bytes', 0, 'size of each request body')
+flags.DEFINE_integer('levels', 0, 'inner calls below each request')
 flags.DEFINE_string('prefix', 'r', 'start of each request id')
 flags.DEFINE_integer('warm_up', 0, 'first requests that are not measured')
 
@@ -104,6 +105,8 @@
             f'{FLAGS.method} {FLAGS.path} HTTP/1.1\r\nHost: any.example\r\n'
             f'X-Request-Id: {self.request_id}\r\n'
         )
+        if FLAGS.levels:
+            head += f'X-Levels: {FLAGS.levels}\r\n'
         if FLAGS.body_bytes or FLAGS.method != 'GET':
             head += f'Content-Length: {FLAGS.body_bytes}\r\n'
         body = b'b' * FLAGS.body_bytes
--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -19,9 +19,11 @@
 import httptools
 from absl import app, flags
 from twisted.internet import reactor
+from twisted.internet.defer import ensureDeferred
 from twisted.internet.protocol import Factory, Protocol
 
 from figdoor_standins.clock import clock_ms
+from figdoor_standins.inner_calls import InnerCalls
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('port', 9001, 'port on loopback')
@@ -68,6 +70,8 @@
     cold_limit: int = 0
     # The process ends when it runs a request with this text in its target.
     die_on: str = ''
+    # Gateways that requests with a level above 0 call before the answer.
+    call_ports: str = ''
 
 
 @dataclass
@@ -84,6 +88,7 @@
     journal: Journal = field(default_factory=lambda: Journal(''))
     executions: Counter = field(default_factory=Counter)
     waiting: deque = field(default_factory=deque)
+    inner_calls: InnerCalls = field(default_factory=InnerCalls)
 
     def take(self, connection):
         """Run, queue or shed one request."""
@@ -115,9 +120,22 @@
         reactor.callLater(delay_s, self.finish, connection)
 
     def finish(self, connection):
-        """Answer and start the next waiting request."""
+        """Answer, after the inner call where there is one."""
+        ports = self.behaviour.call_ports
+        if not connection.levels or not ports:
+            self.end(connection)
+            return
+        self.inner_calls.use(ports)
+        calling = ensureDeferred(self.inner_calls.call(connection))
+        calling.addCallback(lambda reply: self.end(connection, reply))
+
+    def end(self, connection, reply=None):
+        """Free the slot, answer and start the next waiting request."""
         self.running -= 1
-        connection.answer()
+        if reply is None or reply.status == 200:
+            connection.answer()
+        else:
+            connection.pass_on(reply)
         while self.waiting and self.running < self.behaviour.slots:
             following = self.waiting.popleft()
             if following.is_open:
@@ -173,8 +191,13 @@
     def request_id(self):
         return self.headers.get(b'x-request-id', b'').decode()
 
+    @property
+    def levels(self):
+        return int(self.headers.get(b'x-levels', b'0'))
+
     def on_message_complete(self):
         self.method = self.parser.get_method()
+        self.received_ms = clock_ms()
         self.requests += 1
         path, _, query = self.url.decode('latin-1').partition('?')
         self.is_control = path.startswith('/_')
@@ -213,7 +236,7 @@
         if not self.is_open:
             return
         behaviour = self.worker.behaviour
-        if behaviour.reset:
+        if behaviour.reset and not self.levels:
             self.transport.abortConnection()
             return
         if behaviour.garbage:
@@ -229,6 +252,16 @@
             text += bytes(self.body)
         self.write(200, text)
 
+    def pass_on(self, reply):
+        """Answer with the failure of the inner call, and its outcome."""
+        if not self.is_open:
+            return
+        outcome = reply.headers.get('figdoor-outcome')
+        headers = []
+        if outcome is not None:
+            headers.append((b'figdoor-outcome', outcome.encode()))
+        self.write(reply.status or 502, b'inner call failed', headers)
+
     def write(self, status, text, headers=()):
         lines = [b'HTTP/1.1 %d Status' % status]
         lines.append(b'figdoor-load: ' + self.worker.report())
