Skip state transitions of upstreams that go on serving

Cause: each answer ran two transitions of the upstream's state machine, serving to serving, and automat compares the input with its 26 transitions one by one. They were two of the five transitions of a call.

Change: `WarmthEvidence.answered` runs the machine only where the upstream does not serve yet. The machine itself is unchanged.

--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
@@ -19,7 +19,6 @@
 
 ColdHook = Callable[[UpstreamId, InstanceId], None]
 
-_VOUCHABLE = frozenset((UpstreamState.WARMING, UpstreamState.SERVING))
 # Named here since looking a member up is slow (see ``figdoor_kernel.ALLOW``).
 _SERVING = UpstreamState.SERVING
 
@@ -131,12 +130,14 @@
         found.connected = found.mark or UNMARKED
         if found.vouched:
             found.fresh_at_ms = now_ms
-        self.publish_change(found, found.life.answer, now_ms)
-        self.settle(found, now_ms)
+        # An upstream that serves goes on serving; the machine need not run.
+        if found.state.state is not _SERVING:
+            self.publish_change(found, found.life.answer, now_ms)
+            self.settle(found, now_ms)
 
     def settle(self, found: WarmthRecord, now_ms: float) -> None:
         """Serve once the connected instance is the one that is warm."""
-        if found.vouched and found.state.state in _VOUCHABLE:
+        if found.vouched and found.state.state is UpstreamState.WARMING:
             self.publish_change(found, found.life.vouch, now_ms)
 
     def turn_cold(self, found: WarmthRecord, now_ms: float) -> None:
