Make judging a cold upstream at its home node cheaper

It built a ramp for each look-up and threw it away, looked the bounds up twice, swept an empty set of grants and worked out limits that an upstream without grants cannot reach.

Change: the ramp is built only when missing, grants are swept and limits worked out only where there are grants, and the part of the handover time that is a setting is added once. Homes looks at its assignments first; these are empty whenever there are no members. The instance is checked as before, since that voids old evidence.

--- a/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
@@ -44,6 +44,7 @@
     def __init__(self, node: Node) -> None:
         """Follow the VM list and the clock."""
         self._node = node
+        self._grace_ms = node.options.vm_list_lag_ms + PERMIT_VALID_MS
         self._lease = node.part(Extension.SERVICE, 'config-lease')
         self._members: frozenset[NodeId] = frozenset()
         self._members_since_ms: float | None = None
@@ -80,9 +81,7 @@
         permit can be used for a while, and its request runs at most until
         the longest deadline of the service's routes.
         """
-        lag_ms = self._node.options.vm_list_lag_ms
-        longest_ms = self._longest_deadline_ms.get(service, 0)
-        return lag_ms + PERMIT_VALID_MS + longest_ms
+        return self._grace_ms + self._longest_deadline_ms.get(service, 0)
 
     @property
     def size(self) -> int:
@@ -94,11 +93,12 @@
         return last_ms is not None and now_ms - last_ms > MAX_TICK_GAP_MS
 
     def _assignment(self, upstream_id: UpstreamId) -> _Assignment | None:
-        since_ms = self._members_since_ms
-        if since_ms is None:
-            return None
+        # Nothing is assigned while there are no members.
         found = self._assigned.get(upstream_id)
-        if found is None:
+        if found is not None:
+            return found
+        since_ms = self._members_since_ms
+        if since_ms is not None:
             home = _heaviest(self._members, upstream_id)
             found = _Assignment(home, since_ms)
             self._assigned[upstream_id] = found
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_allowance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_allowance.py
@@ -48,11 +48,17 @@
         """
         if not self._homes.acts(upstream, now_ms):
             return False
-        bounds = self._evidence.bounds.of(upstream.service)
-        if bounds is None or not self._evidence.bounds.in_service(upstream):
+        if not self._evidence.bounds.in_service(upstream):
             return False
         ramp = self._ramp(upstream.upstream_id, now_ms)
-        instance = self._check_instance(upstream, ramp, instance, now_ms)
+        if instance:
+            instance = self._check_instance(upstream, ramp, instance, now_ms)
+        if not ramp.grants:
+            # Every limit is at least 1.
+            return True
+        bounds = self._evidence.bounds.of(upstream.service)
+        if bounds is None:
+            return False
         warm = self._evidence.warm_instance(upstream.upstream_id, now_ms)
         limit = ramp.limit(bounds)
         if warm and warm == instance:
@@ -139,13 +145,17 @@
 
     def _ramp(self, upstream_id: UpstreamId, now_ms: float) -> Ramp:
         since_ms = self._homes.since_ms(upstream_id) or 0
-        found = self._ramps.setdefault(upstream_id, Ramp(since_ms))
+        found = self._ramps.get(upstream_id)
+        if found is None:
+            found = Ramp(since_ms)
+            self._ramps[upstream_id] = found
         # Made here so that this node hears when the upstream leaves service.
         self._evidence.record(upstream_id)
         if found.since_ms != since_ms:
             found.since_ms = since_ms
             found.restart()
-        found.sweep(now_ms)
+        if found.grants:
+            found.sweep(now_ms)
         return found
 
     def _check_instance(
@@ -160,8 +170,6 @@
         Where this node has a connection to another one, the asking node may
         be behind and gets only what an unconnected one gets.
         """
-        if not instance:
-            return instance
         own = self._evidence.connected(upstream.upstream_id)
         if own and own != instance:
             return NO_INSTANCE
