Write the end of an answer before its end is noted

Cause: when an answer was whole, the attempt and the call were ended first. All subscribers of AttemptEnded and CallClosed ran, a fifth of the processor time of a call in a profile, before the caller got a byte.

Change: the end of the answer is written first, then the attempt is ended, then the connection goes on with the next request. Both happen within one turn of the loop, so no decision is made in between. The order of events is unchanged. A test fails where the answer leaves after AttemptEnded.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
@@ -57,11 +57,15 @@
         if self._writer is not None:
             self._writer.flush()
 
-    def finish(self) -> None:
+    def write_end(self) -> None:
         """Write the end of the upstream's answer."""
+        if self._writer is not None:
+            self._writer.finish()
+
+    def finish(self) -> None:
+        """Let the connection go on after the end was written."""
         writer = self._writer
         if writer is not None:
-            writer.finish()
             keep_open = writer.keep_alive and self._keeps_open()
             self._connection.finish_request(keep_open)
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -143,6 +143,9 @@
             self._advance()
             return
         self._end()
+        # The caller need not wait until all parts have noted the end. The
+        # next request of its connection begins after that.
+        self._delivery.write_end()
         self._end_attempt(AttemptState.ANSWERED)
         self._delivery.finish()
 
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -3,6 +3,8 @@
 import pytest
 from wires import GET, HEAD, FrontEndRig
 
+from figdoor_kernel import AttemptEnded
+
 POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
 LARGE = POST + b'Content-Length: 300\r\n\r\n' + b'a' * 200
 CHUNKED = POST + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -47,6 +49,15 @@
         assert wire.value().startswith(b'HTTP/1.1 502')
         assert rig.sendings[0].cancelled
 
+    def test_answer_leaves_before_the_parts_note_its_end(self, rig):
+        # Each caller would wait for all that is counted.
+        _, wire = rig.request()
+        events = rig.front_end.dispatcher.node.events
+        told = []
+        events.subscribe(AttemptEnded, lambda _: told.append(wire.value()))
+        rig.sendings[0].answer()
+        assert told[0].endswith(b'ok')
+
     def test_cut_answer_is_cut_for_the_caller_too(self, rig):
         _, wire = rig.request()
         rig.sendings[0].answer(body=b'ab', length=4, whole=False)
