--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_evidence.py
@@ -19,7 +19,8 @@
 
 ColdHook = Callable[[UpstreamId, InstanceId], None]
 
-_VOUCHABLE = frozenset((UpstreamState.WARMING, UpstreamState.SERVING))
+# Named here since looking a member up is slow (see ``figdoor_kernel.ALLOW``).
+_SERVING = UpstreamState.SERVING
 
 
 class WarmthEvidence(Service):
@@ -58,7 +59,7 @@
     def is_warm(self, upstream: Upstream, now_ms: float) -> bool:
         """Return whether any load may be sent that the limits allow."""
         found = self.records.get(upstream.upstream_id)
-        if found is None or found.state.state is not UpstreamState.SERVING:
+        if found is None or found.state.state is not _SERVING:
             return False
         if now_ms - found.fresh_at_ms <= self._node.options.evidence_ms:
             return True
@@ -129,12 +130,14 @@
         found.connected = found.mark or UNMARKED
         if found.vouched:
             found.fresh_at_ms = now_ms
-        self.publish_change(found, found.life.answer, now_ms)
-        self.settle(found, now_ms)
+        # An upstream that serves goes on serving; the machine need not run.
+        if found.state.state is not _SERVING:
+            self.publish_change(found, found.life.answer, now_ms)
+            self.settle(found, now_ms)
 
     def settle(self, found: WarmthRecord, now_ms: float) -> None:
         """Serve once the connected instance is the one that is warm."""
-        if found.vouched and found.state.state in _VOUCHABLE:
+        if found.vouched and found.state.state is UpstreamState.WARMING:
             self.publish_change(found, found.life.vouch, now_ms)
 
     def turn_cold(self, found: WarmthRecord, now_ms: float) -> None:
