Take changes of a long VM list from peers, row by row

Cause: every node read the whole list after each change: 1 MB for 7,340 VMs, which is 76 KB/s for each of 640 nodes.

Change: a node asks the platform for the mark of the list only (HEAD, ETag) and goes to that version along row differences, which peers flood as VmListDifference. A checksum over the rows guards each difference.

Ruled out: merging rows of readers with different lag by a fixed order of states. The order does not hold: the stand-in lists a VM again under its id (a restarted gateway or upstream keeps its name), and the platform's list can be wrong for a while (empty, or one node only), after which every row comes back. A merge would either keep such VMs out or need tombstones with a time, and a lagging reader would decide for others. With the mark, each node uses only a version that the platform showed to itself, so a lagging or wrong answer affects only the nodes that got it, as before. Fixed readers were ruled out too: each would still read 1 MB for each change. Resending lost differences with the heartbeats was left out: the whole read repairs them, and they would crowd out news that a promise depends on.

--- a/packages/figdoor-decisions/src/figdoor_decisions/reading/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/reading/_plan.py
@@ -31,6 +31,9 @@
 # Assumed for the share while the VM list does not show this node.
 ASSUMED_NODES = 640
 JITTER = 0.25
+# Two reads within this time are no more than two of the shortest interval,
+# also for a list that never stays the same.
+SECOND_READ_MS = 2 * VM_LIST_INTERVAL_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +91,11 @@
         self._vm_list_next_ms = now_ms + self._vm_list_interval_ms() * spread
         return True
 
+    def note_second_read(self, now_ms: float) -> None:
+        """Count a read of the VM list that followed one that was planned."""
+        earliest_ms = now_ms + SECOND_READ_MS
+        self._vm_list_next_ms = max(self._vm_list_next_ms, earliest_ms)
+
     def _needs_read(self, now_ms: float) -> bool:
         if self._node.tables is None:
             return True
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
@@ -6,16 +6,16 @@
 
 import math
 from dataclasses import dataclass, fields
-from typing import Any, get_args, get_type_hints
+from typing import Any, get_args, get_origin, get_type_hints
 
 import capnp
 
 from figdoor_gateway.peers._schema import MalformedMessage, schema
-from figdoor_kernel import News, NodeId, PeerMessage
+from figdoor_gateway.peers._vm_rows import checked_text, decode_vm, encode_vm
+from figdoor_kernel import News, NodeId, PeerMessage, Vm
 
 MAX_DATAGRAM_BYTES = 1200
-MAX_TEXT_LENGTH = 128
-MAX_NUMBERS = 128
+MAX_ITEMS = 128
 # 16 KB unpacked: packing saves zeros only, of which a message has few.
 _MAX_WORDS = 2048
 _NEWS_FIELD = 'news'
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True, slots=True)
 class _Field:
-    """One field: its name here and in the schema, and how to check it."""
+    """One field: its name here and in the schema, and how to check it.
+
+    ``item`` is the type of the items where the field is a tuple.
+    """
 
     name: str
     schema_name: str
     kind: type
+    item: type
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,13 +70,6 @@
     return NodeId(checked_text(packet.sender)), _read(packet)
 
 
-def checked_text(text: str) -> str:
-    """Return a short text; raises ``MalformedMessage`` for a long one."""
-    if len(text) > MAX_TEXT_LENGTH:
-        raise MalformedMessage('text is too long')
-    return text
-
-
 def _fill(union: Any, message: Any) -> None:
     layout = _LAYOUTS[type(message)]
     struct = union.init(layout.arm)
@@ -81,7 +78,8 @@
         if field.name == _NEWS_FIELD:
             _fill(struct.init(_NEWS_FIELD), content)
         elif field.kind is tuple:
-            setattr(struct, field.schema_name, list(content))
+            items = map(encode_vm, content) if field.item is Vm else content
+            setattr(struct, field.schema_name, list(items))
         else:
             setattr(struct, field.schema_name, content)
 
@@ -92,21 +90,22 @@
         raise MalformedMessage('unknown kind of message')
     struct = getattr(union, layout.arm)
     decoded = [
-        _read_field(getattr(struct, field.schema_name), field.kind)
+        _read_field(getattr(struct, field.schema_name), field)
         for field in layout.fields
     ]
     return layout.message_type(*decoded)
 
 
-def _read_field(raw: Any, kind: type) -> Any:
+def _read_field(raw: Any, field: _Field) -> Any:
+    kind = field.kind
     if kind is str:
         return checked_text(raw)
     if kind is float and not math.isfinite(raw):
         raise MalformedMessage('number is not finite')
     if kind is tuple:
-        if len(raw) > MAX_NUMBERS:
+        if len(raw) > MAX_ITEMS:
             raise MalformedMessage('list is too long')
-        return tuple(raw)
+        return tuple(map(_ITEM_READERS.get(field.item, _same), raw))
     return _read(raw) if kind is object else raw
 
 
@@ -116,12 +115,17 @@
         message_type,
         _camel(message_type.__name__[0].lower() + message_type.__name__[1:]),
         tuple(
-            _Field(field.name, _camel(field.name), _kind(hints[field.name]))
+            _field(field.name, hints[field.name])
             for field in fields(message_type)
         ),
     )
 
 
+def _field(name: str, hint: Any) -> _Field:
+    item = _kind(get_args(hint)[0]) if get_origin(hint) is tuple else object
+    return _Field(name, _camel(name), _kind(hint), item)
+
+
 def _kind(hint: Any) -> type:
     """Return the plain type behind a field's type."""
     if hint == News:
@@ -136,6 +140,11 @@
     return first + ''.join(word.capitalize() for word in rest)
 
 
+def _same(raw: Any) -> Any:
+    return raw
+
+
+_ITEM_READERS = {str: checked_text, Vm: decode_vm}
 _LAYOUTS = {
     message_type: _layout(message_type)
     for message_type in (*get_args(PeerMessage), *get_args(News))
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_frames.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_frames.py
@@ -6,17 +6,9 @@
 
 import capnp
 
-from figdoor_gateway.peers._codec import checked_text
 from figdoor_gateway.peers._schema import MalformedMessage, schema
-from figdoor_kernel import (
-    AvailabilityZoneName,
-    NodeId,
-    Revision,
-    ServiceName,
-    Vm,
-    VmId,
-    VmState,
-)
+from figdoor_gateway.peers._vm_rows import checked_text, decode_vm, encode_vm
+from figdoor_kernel import NodeId, Revision, Vm
 from figdoor_tables import Change
 
 MAX_REQUEST_BYTES = 1024
@@ -94,7 +86,7 @@
         isSnapshot=answer.is_snapshot,
         routes=answer.routes,
         pools=answer.pools,
-        vms=[_encode_vm(vm) for vm in answer.vms],
+        vms=[encode_vm(vm) for vm in answer.vms],
     )
     encoded: bytes = frame.to_bytes_packed()
     return encoded
@@ -133,7 +125,7 @@
         frame.isSnapshot,
         frame.routes,
         frame.pools,
-        tuple(_decode_vm(row) for row in frame.vms),
+        tuple(decode_vm(row) for row in frame.vms),
     )
 
 
@@ -153,25 +145,3 @@
         Change(change.start, change.removed, tuple(change.added))
         for change in changes
     )
-
-
-def _encode_vm(vm: Vm) -> dict[str, Any]:
-    return {
-        'id': vm.vm_id,
-        'service': vm.service,
-        'availabilityZone': vm.availability_zone,
-        'host': vm.host,
-        'port': vm.port,
-        'state': vm.state.value,
-    }
-
-
-def _decode_vm(row: Any) -> Vm:
-    return Vm(
-        VmId(checked_text(row.id)),
-        ServiceName(checked_text(row.service)),
-        AvailabilityZoneName(checked_text(row.availabilityZone)),
-        checked_text(row.host),
-        row.port,
-        VmState(row.state),
-    )
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -70,6 +70,7 @@
     upstreamDraining @2 :UpstreamDraining;
     deathSeen @3 :DeathSeen;
     revisionAccepted @4 :RevisionAccepted;
+    vmListDifference @5 :VmListDifference;
   }
 }
 
@@ -99,6 +100,14 @@
   revision @0 :UInt64;
 }
 
+struct VmListDifference {
+  base @0 :UInt64;
+  target @1 :UInt64;
+  checksum @2 :UInt64;
+  removed @3 :List(Text);
+  listed @4 :List(VmRow);
+}
+
 struct SyncRequest {
   # The only frame that a node sends on a TCP connection that it opened.
   sender @0 :Text;
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -16,12 +16,17 @@
 CONNECT_TIMEOUT_MS = 1000
 _OK = 200
 _NOTHING_NEWER = frozenset((204, 304))
+_NO_SUCH_METHOD = frozenset((405, 501))
 
 
 class PlatformError(FigdoorError):
     """The platform answered, but not with a value."""
 
 
+class MethodRefusedError(PlatformError):
+    """The platform does not take this method."""
+
+
 class PlatformClient:
     """Gets JSON values; everything that goes wrong is a failure."""
 
@@ -29,7 +34,7 @@
         """Keep connections."""
         self._http = make_client(CONNECT_TIMEOUT_MS, persistent=True)
         self._base_url = base_url
-        self._etags: dict[str, str] = {}
+        self.etags: dict[str, str] = {}
 
     def get(
         self,
@@ -48,12 +53,38 @@
         found = Deferred.fromCoroutine(self._get(path, query))
         return found.addTimeout(timeout_ms / MS_PER_SECOND, reactor)
 
+    def check(self, path: str, timeout_ms: float) -> Deferred[str | None]:
+        """Return the ``ETag`` of the value, ``None`` for the known one.
+
+        The value itself is not transferred. The text is empty where the
+        platform does not mark the value.
+        """
+        found = Deferred.fromCoroutine(self._check(path))
+        return found.addTimeout(timeout_ms / MS_PER_SECOND, reactor)
+
+    async def _check(self, path: str) -> str | None:
+        response = await self._http.head(
+            f'{self._base_url}{path}',
+            headers=self._condition(path),
+        )
+        if response.code in _NOTHING_NEWER:
+            return None
+        if response.code in _NO_SUCH_METHOD:
+            raise MethodRefusedError(f'{path} answered {response.code}')
+        if response.code != _OK:
+            raise PlatformError(f'{path} answered {response.code}')
+        etags: Any = response.headers.getRawHeaders('etag', ('',))
+        return str(etags[0])
+
+    def _condition(self, path: str) -> dict[str, str]:
+        etag = self.etags.get(path)
+        return {'if-none-match': etag} if etag else {}
+
     async def _get(self, path: str, query: dict[str, str]) -> Any:
-        etag = self._etags.get(path)
         response = await self._http.get(
             f'{self._base_url}{path}',
             params=query,
-            headers={'if-none-match': etag} if etag else {},
+            headers=self._condition(path),
             unbuffered=True,
         )
         body = _Body()
@@ -69,9 +100,9 @@
 
     def _remember_etag(self, path: str, response: Any) -> None:
         etags = response.headers.getRawHeaders('etag', ())
-        self._etags.pop(path, None)
+        self.etags.pop(path, None)
         if etags:
-            self._etags[path] = etags[0]
+            self.etags[path] = etags[0]
 
 
 class _Body(Protocol):
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_vm_list_source.py
@@ -7,23 +7,26 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from figdoor_decisions.listing import VmListRead, VmLists
+from figdoor_gateway.platform._client import MethodRefusedError
 from figdoor_gateway.platform._reader import PlatformReader
 from figdoor_kernel import (
     AvailabilityZoneName,
+    Extension,
     Node,
     ServiceName,
     Vm,
     VmId,
     VmList,
-    VmListChanged,
     VmState,
 )
 
 TIMEOUT_MS = 2000
+_PATH = '/v1/vms'
 
 
 class HttpVmListSource(PlatformReader):
-    """Reads ``GET /v1/vms`` when the plan says so.
+    """Reads ``/v1/vms`` with ``GET``, or only its ``ETag`` with ``HEAD``.
 
     On errors the last list stays. An unchanged list is published again, since
     parts need to know that it was still the same then.
@@ -32,24 +35,42 @@
     def __init__(self, node: Node) -> None:
         """Use the platform that the settings name."""
         super().__init__(node)
-        self._last: VmList | None = None
+        self._lists: VmLists = node.part(Extension.SERVICE, 'vm-lists')
 
     def _begin_read(self, now_ms: float) -> Deferred[Any] | None:
-        if not self._plan.may_read_vm_list(now_ms):
+        planned = self._lists.next_read(now_ms)
+        if planned is None:
             return None
-        reading = self._client.get('/v1/vms', TIMEOUT_MS)
-        reading.addCallback(self._take)
+        # The list in use may have come from peers.
+        self._client.etags[_PATH] = self._lists.mark
+        reading: Deferred[Any]
+        if planned is VmListRead.CHECK:
+            reading = self._client.check(_PATH, TIMEOUT_MS)
+            reading.addCallback(self._take_mark)
+        else:
+            reading = self._client.get(_PATH, TIMEOUT_MS)
+            reading.addCallback(self._take)
         reading.addErrback(self._fail)
         return reading
 
     def _take(self, answer: Any) -> None:
-        if answer is not None:
-            self._last = read_vm_list(answer['vms'])
-        if self._last is not None:
-            now_ms = self._node.clock.now_ms()
-            self._node.events.publish(VmListChanged(self._last, now_ms))
+        now_ms = self._node.clock.now_ms()
+        if answer is None:
+            self._lists.take_unchanged(now_ms)
+            return
+        mark = self._client.etags.get(_PATH, '')
+        self._lists.take_whole(mark, read_vm_list(answer['vms']), now_ms)
+
+    def _take_mark(self, mark: str | None) -> None:
+        now_ms = self._node.clock.now_ms()
+        if mark is None:
+            self._lists.take_unchanged(now_ms)
+        else:
+            self._lists.take_mark(mark, now_ms)
 
     def _fail(self, failure: Failure) -> None:
+        if failure.check(MethodRefusedError):
+            self._lists.stop_checking()
         if self._is_running:
             logger.warning('VM list: {!r}', failure.value)
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -89,6 +89,7 @@
     UpstreamDraining,
     UpstreamTurnedCold,
     UpstreamWarm,
+    VmListDifference,
 )
 from figdoor_kernel._node import (
     Node,
@@ -237,6 +238,7 @@
     'VmId',
     'VmList',
     'VmListChanged',
+    'VmListDifference',
     'VmState',
     'Wait',
     'load_plugins',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -13,7 +13,9 @@
     Revision,
     RouteName,
     UpstreamId,
+    VmId,
 )
+from figdoor_kernel._vms import Vm
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,12 +126,28 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class VmListDifference:
+    """News: what leads from one version of the VM list to another.
+
+    ``base`` and ``target`` are hashes of the platform's marks for the two
+    versions. ``checksum`` is over all rows of the target.
+    """
+
+    base: int
+    target: int
+    checksum: int
+    removed: tuple[VmId, ...]
+    listed: tuple[Vm, ...]
+
+
 News = (
     UpstreamTurnedCold
     | UpstreamWarm
     | UpstreamDraining
     | DeathSeen
     | RevisionAccepted
+    | VmListDifference
 )
 
 
--- a/tests/gateway/peers/test_codec.py
+++ b/tests/gateway/peers/test_codec.py
@@ -1,7 +1,7 @@
 """Datagrams and frames: round trips, and rubbish from the network."""
 
 from dataclasses import fields
-from typing import get_args, get_type_hints
+from typing import get_args, get_origin, get_type_hints
 
 import pytest
 from hypothesis import given
@@ -19,7 +19,7 @@
     encode_answer,
     encode_request,
 )
-from figdoor_kernel import Heartbeat, News, PeerMessage
+from figdoor_kernel import Heartbeat, News, PeerMessage, Vm, VmId, VmState
 from figdoor_tables import Change
 
 names = st.text(max_size=40)
@@ -29,7 +29,21 @@
     int: counts,
     float: st.floats(allow_nan=False, allow_infinity=False),
     bool: st.booleans(),
-    tuple: st.lists(counts, max_size=96).map(tuple),
+}
+vms = st.builds(
+    Vm,
+    names,
+    names,
+    names,
+    names,
+    st.integers(0, 65_535),
+    st.sampled_from(VmState),
+)
+# The largest numbers that one message may carry.
+ITEMS = {
+    int: st.lists(counts, max_size=96),
+    VmId: st.lists(st.text(max_size=20), max_size=3),
+    Vm: st.lists(vms, max_size=1),
 }
 
 
@@ -42,8 +56,10 @@
         if hint == News:
             parts.append(st.one_of(*map(messages_of, get_args(News))))
             continue
-        plain = getattr(hint, '__supertype__', hint)
-        parts.append(BY_KIND[getattr(plain, '__origin__', plain)])
+        if get_origin(hint) is tuple:
+            parts.append(ITEMS[get_args(hint)[0]].map(tuple))
+            continue
+        parts.append(BY_KIND[getattr(hint, '__supertype__', hint)])
     return st.builds(message_type, *parts)
 
 
--- a/tests/gateway/platform/test_sources.py
+++ b/tests/gateway/platform/test_sources.py
@@ -12,9 +12,11 @@
 from figdoor_gateway.platform import HttpConfigSource, HttpVmListSource
 from figdoor_gateway.platform._client import (
     MAX_ANSWER_BYTES,
+    MethodRefusedError,
     PlatformClient,
 )
 from figdoor_kernel import (
+    Extension,
     ServiceConfirmed,
     ServiceFailed,
     TablesOffered,
@@ -29,11 +31,18 @@
     def __init__(self):
         self.answers = []
         self.queries = []
+        self.paths = []
+        self.etags = {}
 
     def get(self, path, timeout_ms, **query):
+        self.paths.append(path)
         self.queries.append(query)
         return self.answers.pop(0)
 
+    def check(self, path, timeout_ms):
+        self.paths.append(f'HEAD {path}')
+        return self.answers.pop(0)
+
 
 def start_source(kind):
     node = make_node()
@@ -116,14 +125,62 @@
         assert first.now_ms < second.now_ms
 
 
+class TestVmListChecks:
+    """Long lists are asked for their mark only."""
+
+    def setup_method(self):
+        self.node, self.source = start_source(HttpVmListSource)
+        self.client = self.source._client
+        self.changed = Recorder(self.node, VmListChanged)
+        rows = [
+            {
+                'id': f'w{number}',
+                'service': 'work',
+                'availability_zone': 'z1',
+                'host': '127.0.0.1',
+                'port': 1,
+                'state': 'live',
+            }
+            for number in range(600)
+        ]
+        self.client.answers.append(succeed({'vms': rows}))
+        tick(self.node)
+        self.lists = self.node.part(Extension.SERVICE, 'vm-lists')
+        self.lists.take_whole('"a"', self.node.fleet.vm_list, 0)
+        self.changed.events.clear()
+
+    def run(self, *answers):
+        self.client.answers += answers
+        for _ in range(60):
+            if self.client.answers:
+                tick(self.node, 100)
+
+    def test_unchanged_mark_publishes_the_same_list_again(self):
+        self.run(succeed(None))
+        (event,) = self.changed.events
+        assert event.vm_list is self.node.fleet.vm_list
+        assert self.client.paths == ['/v1/vms', 'HEAD /v1/vms']
+
+    def test_new_mark_without_differences_is_read_whole(self):
+        self.run(succeed('"b"'), succeed({'vms': []}))
+        (event,) = self.changed.events
+        assert not event.vm_list.vms
+
+    def test_platform_without_checks_is_read_whole_from_then_on(self):
+        refused = fail(MethodRefusedError('405'))
+        self.run(refused, succeed(None), succeed(None))
+        assert self.client.paths[1:] == ['HEAD /v1/vms', *2 * ['/v1/vms']]
+        assert len(self.changed.events) == 2
+
+
 class TestPlatformClient:
     def setup_method(self):
         self.client = PlatformClient('http://127.0.0.1:1')
         self.answers = []
         self.headers = []
-        self.client._http = SimpleNamespace(get=self.get)
+        self.client._http = SimpleNamespace(get=self.get, head=self.get)
 
-    def get(self, url, params, headers, unbuffered):
+    def get(self, url, headers, params=None, unbuffered=False):
         self.headers.append(headers)
         return succeed(self.answers.pop(0))
 
@@ -143,6 +200,14 @@
         assert [one.result for one in found] == [{'vms': []}, None]
         assert self.headers == [{}, {'if-none-match': '"a"'}]
 
+    def test_check_names_the_known_mark_and_learns_none(self):
+        self.client.etags['/v1/vms'] = '"a"'
+        self.answer(200, b'', etag='"b"')
+        self.answer(304, b'')
+        found = [self.client.check('/v1/vms', 1000) for _ in range(2)]
+        assert [one.result for one in found] == ['"b"', None]
+        assert self.headers == 2 * [{'if-none-match': '"a"'}]
+
     @pytest.mark.parametrize(
         ('code', 'body'),
         [(500, b''), (200, b'{"vms'), (200, bytes(MAX_ANSWER_BYTES + 1))],
