Let the demo's upstreams reset orders after they ran them

Cause: the demo compares what ran with what callers were told, but its load brought about a lost order only where a kill happened to cut one. Change: after 3 s each upstream resets one POST request after it ran it. The demo fails where no order was reset, since it then shows nothing of orders run twice. Ruled out: resets for a span of time, after which an upstream turned cold might have reset no order; a longer slow phase before a kill, which still depends on what is in progress at that moment.

--- a/standins/src/figdoor_standins/demo/fleet.py
+++ b/standins/src/figdoor_standins/demo/fleet.py
@@ -17,6 +17,9 @@
 SERVICE_MS = 5
 PROBES_PER_S = 2
 LOAD_S = 15
+# A balancer that sent these orders anew would run them twice. The load is at
+# its full rate by then, and both availability zones are in service.
+ORDERS_RESET_AT_S = 3
 ZONE_OUT_AT_S = 4
 ZONE_BACK_AT_S = 8.5
 # A service turns slow before a kill, so that the kill cuts requests that have
@@ -144,6 +147,9 @@
         sys.stdout.flush()
 
     at(0, f'load begins; revision 1 in force in {", ".join(ZONES)}')
+    at(ORDERS_RESET_AT_S, 'each upstream runs one order and then resets it')
+    for upstream in deployment.upstreams[:-1]:
+        upstream.control(reset_posts=1)
     at(ZONE_OUT_AT_S, f'{ZONE_OUT} is taken out of the tables')
     deployment.platform.publish(routes, _without_zone(pools))
     run.zone_out_ms = clock_ms()
@@ -191,6 +197,7 @@
 
 
 def _read_journal(run, upstream, folder):
+    kinds = {'run': run.runs, 'probe': run.probes, 'reset': run.resets}
     path = folder / f'{upstream.vm_id}.journal'
     for line in path.read_text(encoding='utf-8').splitlines():
         entry = json.loads(line)
@@ -201,4 +208,4 @@
             entry['at_ms'],
         )
         if upstream.vm_id != 'direct':
-            (run.runs if entry['kind'] == 'run' else run.probes).append(start)
+            kinds[entry['kind']].append(start)
--- a/standins/src/figdoor_standins/demo/promises.py
+++ b/standins/src/figdoor_standins/demo/promises.py
@@ -59,6 +59,8 @@
     for direct, name in ((False, 'through figdoor'), (True, 'direct')):
         if not any(record['direct'] == direct for record in answered):
             yield f'nothing was answered {name}, so nothing was shown'
+    if not run.resets:
+        yield 'no order was reset after it ran, so nothing was shown of orders'
 
 
 def _ran_twice(run):
--- a/standins/src/figdoor_standins/demo/run.py
+++ b/standins/src/figdoor_standins/demo/run.py
@@ -20,12 +20,14 @@
     ``zone_out_ms`` and ``zone_back_ms`` are when the tables without and with
     the availability zone had been published. ``listed_s`` is for how long
     each upstream was in the VM list, ``probes_per_s`` its budget. ``slow_ms``
-    are the spans in which a service was slow.
+    are the spans in which a service was slow, ``resets`` the orders that ran
+    and were reset instead of answered.
     """
 
     records: list = field(default_factory=list)
     runs: list = field(default_factory=list)
     probes: list = field(default_factory=list)
+    resets: list = field(default_factory=list)
     zone_out: str = ''
     zone_out_ms: float = 0
     zone_back_ms: float = 0
--- a/standins/src/figdoor_standins/demo/summary.py
+++ b/standins/src/figdoor_standins/demo/summary.py
@@ -47,6 +47,7 @@
         answered, not_run, unknown = (told[name] for name in OUTCOMES)
         yield f'{route:10} {tenant:14} {answered:8} {not_run:8} {unknown:7}'
     resent = sum(len(record['tries']) > 1 for record in run.records)
+    yield f'run and then reset by their upstreams: {len(run.resets)} orders'
     yield f'resent by their callers at the other gateway: {resent}'
     for (told, reason), count in sorted(reasons.items()):
         yield f'  {told} because of {reason}: {count}'
--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -60,6 +60,8 @@
     fail_fast: int = 0
     truncate: int = 0
     reset: int = 0
+    # POST requests that are still to be run and then reset.
+    reset_posts: int = 0
     reset_reused: int = 0
     garbage: int = 0
     garbage_after: int = 0
@@ -213,6 +215,11 @@
         if not self.is_open:
             return
         behaviour = self.worker.behaviour
+        if behaviour.reset_posts and self.method == b'POST':
+            behaviour.reset_posts -= 1
+            self.worker.journal.write('reset', self.request_id)
+            self.transport.abortConnection()
+            return
         if behaviour.reset:
             self.transport.abortConnection()
             return
--- a/tests/standins/test_promises.py
+++ b/tests/standins/test_promises.py
@@ -22,6 +22,7 @@
 
 
 def kept(*records, runs=(), **fields):
+    fields.setdefault('resets', [start('r')])
     return DemoRun(
         records=[record('r'), record('d', direct=True), *records],
         runs=[start('r'), *runs],
@@ -60,6 +61,7 @@
             (kept(probes=[start('')] * 23), 'budget 22'),
             (kept(exit_codes=[1]), 'exit codes'),
             (DemoRun(), 'nothing was answered'),
+            (kept(resets=[]), 'no order was reset'),
         ],
     )
     def test_each_broken_promise_is_told(self, run, text):
