Let the stand-in caller wait for its last answers

Cause: test_sigterm_cuts_no_request_in_progress failed each time with 3 to 8 cut requests after its gateway got a grace of 1 s: the caller's run ended after its 2 s by closing connections with requests in progress, and counted them as cut.

Change: after its time the caller starts nothing new and waits up to 5 s for the answers. What has none by then still counts as cut.

Ruled out: the gateway. Its log shows the last request finished before the caller went, and the same test with a grace of 300 ms passed.

Conclusion: the check is as strict as before; a request that the gateway never answers is still seen.

--- a/standins/src/figdoor_standins/caller.py
+++ b/standins/src/figdoor_standins/caller.py
@@ -5,7 +5,8 @@
 JSON object: what the caller was told for each request id, and the quantiles of
 the latency of answers. Each connection has one request in progress; with
 ``--rate`` the starts are spread evenly over all connections.
-The run ends after ``--requests``, at the latest after ``--seconds``.
+The run ends after ``--requests``. After ``--seconds`` it starts no request and
+waits for those in progress; what has no answer 5 s later counts as cut.
 """
 
 import gc
@@ -33,6 +34,7 @@
 flags.DEFINE_integer('warm_up', 0, 'first requests that are not measured')
 
 RECONNECT_S = 0.05
+LAST_ANSWERS_S = 5
 QUANTILES = {'p50_ms': 0.5, 'p99_ms': 0.99, 'p999_ms': 0.999}
 
 
@@ -46,9 +48,21 @@
         self.ended = 0
         self.free = deque()
         self.began = perf_counter()
+        self.is_ending = False
 
     def wants_more(self):
-        return self.sent < FLAGS.requests
+        return self.sent < FLAGS.requests and not self.is_ending
+
+    def finish(self):
+        """Start nothing more and wait for what is in progress."""
+        self.is_ending = True
+        reactor.callLater(LAST_ANSWERS_S, stop)
+        self.stop_when_done()
+
+    def stop_when_done(self):
+        is_done = self.is_ending and self.ended == self.sent
+        if is_done or self.ended >= FLAGS.requests:
+            stop()
 
     def offer(self, caller):
         """Use a connection that is free for the next request."""
@@ -77,8 +91,7 @@
             sys.stdout.flush()
         if told == 'answered' and self.ended > FLAGS.warm_up:
             self.latencies.append(latency_s)
-        if self.ended >= FLAGS.requests:
-            stop()
+        self.stop_when_done()
 
 
 class Caller(Protocol):
@@ -201,7 +214,7 @@
         connect(run, int(FLAGS.ports[number % len(FLAGS.ports)]))
     if FLAGS.rate:
         reactor.callWhenRunning(run.pace)
-    reactor.callLater(FLAGS.seconds, stop)
+    reactor.callLater(FLAGS.seconds, run.finish)
     reactor.run()
     seconds = perf_counter() - run.began
     json.dump(
