Read answers of 64 KB in one turn of the loop

Cause: Twisted reads 64 KB at a time. A trace of the reads showed that each answer with a body of 64 KB arrived as 65,536 bytes and then 126 more, so that the gateway polled, received and sent twice for each call.

Change: upstream connections read 80 KB at a time. That stays below 128 KB, from where on malloc maps fresh pages for each read.

Sizes just above 80 KB still take one more turn than they need.

--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -17,6 +17,9 @@
     render_request,
 )
 
+# Twisted reads 64 KB at a time, so an answer with a body of 64 KB took a
+# second turn of the loop and a second write for the size of its head.
+READ_BYTES = 80 * 1024
 _SWITCHING_PROTOCOLS = 101
 _FIRST_FINAL_STATUS = 200
 
@@ -51,9 +54,10 @@
         self._unread_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Send small writes at once."""
+        """Send small writes at once, and read large answers at once."""
         self.is_usable = True
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = READ_BYTES
 
     def send(
         self,
