--- a/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/homes/_homes.py
@@ -44,7 +44,6 @@
     def __init__(self, node: Node) -> None:
         """Follow the VM list and the clock."""
         self._node = node
-        self._grace_ms = node.options.vm_list_lag_ms + PERMIT_VALID_MS
         self._lease = node.part(Extension.SERVICE, 'config-lease')
         self._members: frozenset[NodeId] = frozenset()
         self._members_since_ms: float | None = None
@@ -81,7 +80,9 @@
         permit can be used for a while, and its request runs at most until
         the longest deadline of the service's routes.
         """
-        return self._grace_ms + self._longest_deadline_ms.get(service, 0)
+        lag_ms = self._node.options.vm_list_lag_ms
+        longest_ms = self._longest_deadline_ms.get(service, 0)
+        return lag_ms + PERMIT_VALID_MS + longest_ms
 
     @property
     def size(self) -> int:
