Flood differences of the VM list along the ring only

Cause: news also goes back along edges on which heartbeats arrive, for nodes that most VM lists do not show. Such a node reads its own list whole, so half of the messages with differences told nothing new.

Change: Flooding sends VmListDifference to the neighbours on the ring only. bench/vm_list.py measures how changes spread, and what a change by difference costs one node.

Ruled out: keeping differences for repair by heartbeats, as for other news; a node that missed one reads the list whole after 600 ms.

--- a/bench/vm_list.py
+++ b/bench/vm_list.py
@@ -2,29 +2,69 @@
 
 Prints, for several fleets, the time to read a list from JSON, the time that
 all decision plug-ins of a node take to follow a list in which one VM changed,
-and the memory that a node keeps.
+the time of the same change by a peer's difference, and the memory that a node
+keeps.
+
+The second table shows how changes of the list reach a fleet on the virtual
+clock: whole reads, bytes of differences as the codec encodes them (with 28
+bytes of IP and UDP headers), and the time until every node has the change. Its
+nodes have only the parts that this takes, and 600 workers, since the number of
+whole reads does not depend on the length. The bytes of whole reads are those
+of the longest list of the first table.
+
+Run ``.venv/bin/python bench/vm_list.py``; it takes about two minutes.
 """
 
 import gc
 import json
 import statistics
+import sys
 import time
 import tracemalloc
+from collections import Counter
+from heapq import heappop, heappush
+from pathlib import Path
 from random import Random
 
+sys.path.insert(0, str(Path(__file__).parents[1] / 'tests'))
+
+from support import ManualClock, node_vm, upstream_vm
+
+from figdoor_decisions.listing import VmListRead
+from figdoor_decisions.listing._differences import (
+    Version,
+    checksum_of,
+    difference,
+)
+from figdoor_gateway.peers import decode, encode
 from figdoor_gateway.platform import read_vm_list
 from figdoor_kernel import (
     AvailabilityZoneName,
     Extension,
+    Flooded,
+    NewsReceived,
     Node,
     NodeId,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    Tick,
+    VmList,
     VmListChanged,
+    VmState,
     load_plugins,
 )
 
 SIZES = ((30, 20), (1000, 100), (3350, 320), (6700, 640))
 REPEATS = 5
 ZONES = 7
+FLEETS = (20, 40, 160, 640)
+CHANGES = 10
+TICK_MS = 50
+DELAY_MS = 1.5
+# A whole list of 1 MB at 1 Gbit/s and its reading take some 45 ms.
+WHOLE_READ_MS = 45
+HEADER_BYTES = 28
+CHANGES_PER_S = 3 * (26 + 2100) / 86_400
 
 
 class FixedClock:
@@ -103,6 +143,7 @@
     follow = median_ms(
         lambda turn: node.events.publish(VmListChanged(lists[turn], turn)),
     )
+    by_difference = median_difference_ms(node, lists)
     gc.collect()
     tracemalloc.start()
     other = make_decisions()
@@ -114,15 +155,191 @@
     tracemalloc.stop()
     text_kb = len(texts[0]) / 1000
     return (
-        f'{workers}+{nodes} | {text_kb:.0f} | {read} | {follow} | {kept_kb:.0f}'
+        f'{workers}+{nodes} | {text_kb:.0f} | {read} | {follow}'
+        f' | {by_difference} | {kept_kb:.0f}'
+    )
+
+
+def median_difference_ms(node, lists):
+    """Return the time to follow the same changes by differences."""
+    versions = [
+        Version(f'v{turn}', vm_list, checksum_of(vm_list.vms))
+        for turn, vm_list in enumerate(lists)
+    ]
+    vm_lists = node.part(Extension.SERVICE, 'vm-lists')
+    vm_lists.take_whole('v0', lists[0], 0)
+
+    def follow(turn):
+        (part,) = difference(versions[turn], versions[turn + 1])
+        started_s = time.perf_counter()
+        vm_lists.take_mark(f'v{turn + 1}', 0)
+        node.events.publish(NewsReceived(NodeId('vm-6701'), part, 0))
+        return (time.perf_counter() - started_s) * 1000
+
+    times_ms = [follow(turn) for turn in range(REPEATS)]
+    assert vm_lists.mark == f'v{REPEATS}'
+    low, high = min(times_ms), max(times_ms)
+    return f'{statistics.median(times_ms):.1f} ({low:.1f}..{high:.1f})'
+
+
+class Spreading:
+    """A fleet that follows changes of the VM list."""
+
+    def __init__(self, size):
+        self.clock = ManualClock()
+        self.random = Random(size)
+        self.whole_reads = Counter()
+        self.bytes = 0
+        self.messages = 0
+        self.busy = set()
+        self.queue = []
+        self.order = 0
+        self.vms = [
+            node_vm(f'entry-{number:03}', f'south-{number % ZONES}')
+            for number in range(size)
+        ]
+        self.vms += [
+            upstream_vm(f'worker-{number:05}') for number in range(600)
+        ]
+        self.version = 0
+        registry = load_plugins('figdoor_decisions')
+        self.nodes = {
+            vm.vm_id: self.make(vm, number, registry)
+            for number, vm in enumerate(self.vms[:size])
+        }
+        self.run(3000)
+        self.whole_reads.clear()
+        self.bytes = self.messages = 0
+
+    def make(self, vm, seed, registry):
+        node = Node(
+            NodeId(vm.vm_id),
+            vm.availability_zone,
+            self.clock,
+            Random(seed),
+            registry,
+        )
+        node.part(Extension.SERVICE, 'vm-lists')
+        node.part(Extension.SERVICE, 'heartbeats')
+        node.events.subscribe(
+            PeerMessageWanted,
+            lambda event: self.send(node, event),
+        )
+        return node
+
+    def send(self, node, event):
+        message = event.message
+        if isinstance(message, Flooded):
+            datagram = encode(node.node_id, message)
+            self.messages += 1
+            self.bytes += len(datagram) + HEADER_BYTES
+            _, message = decode(datagram)
+        receiver = self.nodes[event.target]
+        self.later(
+            DELAY_MS,
+            lambda: receiver.events.publish(
+                PeerMessageReceived(node.node_id, message, self.clock.now_ms()),
+            ),
+        )
+
+    def later(self, delay_ms, action):
+        self.order += 1
+        at_ms = self.clock.now_ms() + delay_ms
+        heappush(self.queue, (at_ms, self.order, action))
+
+    def run(self, total_ms):
+        for _ in range(round(total_ms / TICK_MS)):
+            now_ms = self.clock.now_ms() + TICK_MS
+            while self.queue and self.queue[0][0] <= now_ms:
+                at_ms, _, action = heappop(self.queue)
+                self.clock.reactor.rightNow = at_ms / 1000
+                action()
+            self.clock.reactor.rightNow = now_ms / 1000
+            for name, node in self.nodes.items():
+                node.events.publish(Tick(now_ms))
+                self.read(name, now_ms)
+
+    def read(self, name, now_ms):
+        if name in self.busy:
+            return
+        lists = self.nodes[name].part(Extension.SERVICE, 'vm-lists')
+        planned = lists.next_read(now_ms)
+        if planned is None:
+            return
+        self.busy.add(name)
+        is_whole = planned is VmListRead.WHOLE
+        self.whole_reads[name] += is_whole
+        mark, vm_list = f'v{self.version}', VmList(tuple(self.vms))
+        self.later(
+            WHOLE_READ_MS if is_whole else 2 * DELAY_MS,
+            lambda: self.take(name, is_whole, mark, vm_list),
+        )
+
+    def take(self, name, is_whole, mark, vm_list):
+        self.busy.discard(name)
+        lists = self.nodes[name].part(Extension.SERVICE, 'vm-lists')
+        now_ms = self.clock.now_ms()
+        if mark == lists.mark:
+            lists.take_unchanged(now_ms)
+        elif is_whole:
+            lists.take_whole(mark, vm_list, now_ms)
+        else:
+            lists.take_mark(mark, now_ms)
+
+    def change(self):
+        """Let one worker change; return the time until all nodes know it."""
+        self.version += 1
+        changed = upstream_vm(
+            f'worker-{self.version:05}', state=VmState.LEAVING
+        )
+        self.vms = [vm for vm in self.vms if vm.vm_id != changed.vm_id]
+        self.vms.append(changed)
+        begun_ms = self.clock.now_ms()
+        behind = list(self.nodes.values())
+        while behind:
+            self.run(TICK_MS)
+            behind = [
+                node
+                for node in behind
+                if node.fleet.find(changed.vm_id).vm_state is VmState.LIVE
+            ]
+        return self.clock.now_ms() - begun_ms
+
+
+def spread(size, whole_bytes):
+    """Return one row of the second table."""
+    fleet = Spreading(size)
+    times_ms = []
+    for _ in range(CHANGES):
+        fleet.run(fleet.random.uniform(0, 1000))
+        times_ms.append(fleet.change())
+    reads = fleet.whole_reads.total() / CHANGES
+    messages = fleet.messages / CHANGES / size
+    sent = fleet.bytes / CHANGES / size
+    per_s = CHANGES_PER_S * (reads / size * whole_bytes + 2 * sent)
+    return (
+        f'{size} | {reads:.1f} | {messages:.1f} | {sent:.0f} | {per_s:.0f}'
+        f' | {statistics.median(times_ms):.0f} | {max(times_ms):.0f}'
     )
 
 
 def main():
     """Print the table."""
-    print('workers+nodes | text KB | read ms | follow ms | kept KB')
+    print(
+        'workers+nodes | text KB | read ms | follow ms | by difference ms'
+        ' | kept KB',
+    )
     for workers, nodes in SIZES:
         print(measure(workers, nodes))
+    whole_bytes = len(json.dumps({'vms': make_rows(*SIZES[-1])}))
+    print()
+    print(
+        'nodes | whole reads per change | differences sent per node and change'
+        ' | bytes sent per node and change | bytes/s per node, both directions'
+        ' | all nodes after ms, median | longest',
+    )
+    for size in FLEETS:
+        print(spread(size, whole_bytes))
 
 
 if __name__ == '__main__':
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_flooding.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_flooding.py
@@ -24,6 +24,7 @@
     Service,
     UpstreamDraining,
     UpstreamTurnedCold,
+    VmListDifference,
 )
 
 MAX_HELD = 512
@@ -108,7 +109,12 @@
     ) -> None:
         if isinstance(flooded.news, REPAIRED):
             self._hold(flooded, now_ms)
-        for peer in self._neighbours.edges(now_ms):
+        if isinstance(flooded.news, VmListDifference):
+            # A node that only some VM lists show reads its own list whole.
+            edges = self._neighbours.on_ring
+        else:
+            edges = self._neighbours.edges(now_ms)
+        for peer in edges:
             if peer not in {sender, flooded.origin}:
                 self._send(peer, flooded)
 
