Keep the fleet as it is when the VM list is the same

Cause: an unchanged list is published again after each read, and Fleet built all records anew, at 640 nodes every 1.6 s.

Change: Fleet returns at once for the list that it already has.

What remains is mostly the prober, which looks at every upstream.

--- a/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
@@ -69,6 +69,8 @@
         return self.vm_list.of_service(FIGDOOR_SERVICE)
 
     def _on_vm_list(self, event: VmListChanged) -> None:
+        if event.vm_list is self.vm_list:
+            return
         self.vm_list = event.vm_list
         known = self._by_id
         self._by_id = {}
