Run each bench script in the tests, at its smallest size

Cause: nothing noticed that a script behind published figures had stopped working. bench/measuring.py had: since probing depends on the config lease it ended with 'no service named config-lease'. Two that start a fleet run beside the others. Ruled out: importing the scripts and calling main, since most set their sizes on import; smaller published sizes. Conclusion: a quick run shows that a script runs, not that its figures hold.

--- a/bench/control_cost.py
+++ b/bench/control_cost.py
@@ -21,6 +21,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / 'tests'))
 
+from sizes import pick
 from support import (
     ManualClock,
     give_tables,
@@ -47,12 +48,12 @@
     VmListChanged,
 )
 
-SIZES = (4, 8, 16, 32)
+SIZES = pick((4, 8, 16, 32), quick=(2, 4))
 TARGET_NODES = 640
 HEADER_BYTES = 28
 TICK_MS = 50
 WARM_UP_S = 3
-MEASURED_S = 120
+MEASURED_S = pick(120, quick=1)
 # On the target's ordinary day 2,100 upstreams are restarted or replaced; each
 # turns cold once and warm once. Shares of the fleet's rate are told here by
 # one origin each.
@@ -60,8 +61,8 @@
 SECONDS_PER_DAY = 86_400
 TARGET_BYTES_PER_S = 4000
 TARGET_CORE_PERCENT = 1.1
-ROUND_TRIPS = 20_000
-VM_LIST_READS = 20
+ROUND_TRIPS = pick(20_000, quick=100)
+VM_LIST_READS = pick(20, quick=1)
 
 
 class Fleet:
--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -7,6 +7,8 @@
 import time
 from random import Random
 
+from sizes import pick
+
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
@@ -28,7 +30,7 @@
 from figdoor_tables import read_tables
 
 UPSTREAMS = 20
-CALLS = 5000
+CALLS = pick(5000, quick=100)
 WARM_UP_CALLS = 500
 # By then the node acts as home of its upstreams, which start cold.
 HOME_ACTS_MS = 10_000.0
--- a/bench/measuring.py
+++ b/bench/measuring.py
@@ -10,8 +10,9 @@
 from random import Random
 
 from fake_workers import VirtualClock
+from sizes import pick
 
-from figdoor_decisions import measuring
+from figdoor_decisions import configuration, measuring
 from figdoor_kernel import (
     Extension,
     Node,
@@ -26,7 +27,7 @@
 from figdoor_tables import read_tables
 
 BUDGET_PER_S = 2
-RUN_S = 120
+RUN_S = pick(120, quick=1)
 TICK_MS = 50
 LIST_READ_MS = 1000
 SIZES = (
@@ -54,6 +55,8 @@
     clock = VirtualClock()
     registry = Registry()
     measuring.register(registry)
+    # Measuring asks the config lease whether the node is up to date.
+    configuration.register(registry)
     vms = [
         Vm(f'w{index}', 'work', 'z1', '127.0.0.1', 1)
         for index in range(upstreams)
@@ -68,7 +71,7 @@
     members = []
     for index in range(nodes):
         node = Node(f'n{index}', 'z1', clock, Random(index), registry)
-        node.parts(Extension.SERVICE)
+        node.part(Extension.SERVICE, 'measuring')
         node.events.subscribe(ProbeWanted, probes.append)
         node.events.publish(TablesAccepted(tables, 0))
         members.append(node)
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -9,10 +9,12 @@
 import time
 from pathlib import Path
 
+from sizes import pick
+
 from figdoor_standins.processes import HOST, Deployment
 
 TABLES = Path(__file__).parents[1] / 'examples' / 'fountain-dispatch'
-STEPS = (0, 500, 1000, 2000)
+STEPS = pick((0, 500, 1000, 2000), quick=(0, 10))
 REQUEST = b'GET /work-orders/1 HTTP/1.1\r\nHost: dispatch.example\r\n\r\n'
 
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -11,15 +11,25 @@
 from statistics import median
 
 from absl import app, flags
+from sizes import pick
 
 from figdoor_standins.processes import Deployment
 
 FLAGS = flags.FLAGS
-flags.DEFINE_integer('repeats', 5, 'runs of each case')
-flags.DEFINE_integer('requests', 1200, 'requests of each run')
+flags.DEFINE_integer('repeats', pick(5, quick=1), 'runs of each case')
+flags.DEFINE_integer('requests', pick(1200, quick=50), 'requests of each run')
 flags.DEFINE_integer('rate', 500, 'requests per second')
-flags.DEFINE_list('connections', ['1', '16', '64'], 'connections of callers')
-flags.DEFINE_list('sizes', ['1024', '65536'], 'sizes of the answers in bytes')
+flags.DEFINE_list(
+    'connections',
+    pick(['1', '16', '64'], quick=['4']),
+    'connections of callers',
+)
+flags.DEFINE_list(
+    'sizes',
+    pick(['1024', '65536'], quick=['1024']),
+    'sizes of the answers in bytes',
+)
+flags.DEFINE_boolean('quick', False, 'one small run, without meaning')
 flags.DEFINE_boolean('json', False, 'print the raw figures too')
 
 WARM_UP = 200
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -13,6 +13,7 @@
 from statistics import median
 
 from policy_run import Run
+from sizes import pick
 
 from figdoor_decisions import choosers, eligibility, limits, retries, routing
 
@@ -24,9 +25,9 @@
     'adaptive',
     'oracle',
 )
-LOADS = (0.5, 0.8, 0.95)
-NODE_COUNTS = (1, 16)
-SEEDS = (1, 2, 3)
+LOADS = pick((0.5, 0.8, 0.95), quick=(0.05,))
+NODE_COUNTS = pick((1, 16), quick=(2,))
+SEEDS = pick((1, 2, 3), quick=(1,))
 MAX_S = 110
 
 
--- a/bench/tables.py
+++ b/bench/tables.py
@@ -9,11 +9,13 @@
 import time
 import tracemalloc
 
+from sizes import pick
+
 from figdoor_kernel import Revision
 from figdoor_tables import TablesReader, read_tables
 
-SIZES = (10, 100, 550, 1100)
-REPEATS = 7
+SIZES = pick((10, 100, 550, 1100), quick=(10,))
+REPEATS = pick(7, quick=2)
 ROUTES_PER_SERVICE = 2
 
 
--- a/bench/vm_list.py
+++ b/bench/vm_list.py
@@ -12,6 +12,8 @@
 import tracemalloc
 from random import Random
 
+from sizes import pick
+
 from figdoor_gateway.platform import read_vm_list
 from figdoor_kernel import (
     AvailabilityZoneName,
@@ -22,8 +24,11 @@
     load_plugins,
 )
 
-SIZES = ((30, 20), (1000, 100), (3350, 320), (6700, 640))
-REPEATS = 5
+SIZES = pick(
+    ((30, 20), (1000, 100), (3350, 320), (6700, 640)),
+    quick=((30, 20),),
+)
+REPEATS = pick(5, quick=2)
 ZONES = 7
 
 
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -27,6 +27,7 @@
     Run,
     ignore_wake,
 )
+from sizes import pick
 
 from figdoor_kernel import (
     PLUGIN_GROUP,
@@ -40,8 +41,8 @@
 )
 from figdoor_tables import read_tables
 
-NODES = 16
-LOADS = (0.5, 0.65)
+NODES = pick(16, quick=2)
+LOADS = pick((0.5, 0.65), quick=(0.02,))
 POLICIES = ('round-robin', 'power-of-two', 'adaptive')
 BEGIN_MS = 2500
 OUT_MS = 5000
@@ -217,4 +218,4 @@
 
 
 if __name__ == '__main__':
-    main(sys.argv[1:])
+    main([name for name in sys.argv[1:] if not name.startswith('--')])
