--- a/bench/levels.py
+++ b/bench/levels.py
@@ -11,16 +11,26 @@
 from statistics import median
 
 from absl import app, flags
+from sizes import pick
 
 from figdoor_standins.processes import Deployment
 
 FLAGS = flags.FLAGS
-flags.DEFINE_list('levels', ['1', '6', '22'], 'gateways that a call passes')
-flags.DEFINE_integer('repeats', 3, 'runs of each case')
-flags.DEFINE_integer('requests', 600, 'outermost requests of each run')
+flags.DEFINE_list(
+    'levels',
+    pick(['1', '6', '22'], quick=['2']),
+    'gateways that a call passes',
+)
+flags.DEFINE_integer('repeats', pick(3, quick=1), 'runs of each case')
+flags.DEFINE_integer(
+    'requests',
+    pick(600, quick=20),
+    'outermost requests of each run',
+)
+flags.DEFINE_boolean('quick', False, 'one small run, without meaning')
 flags.DEFINE_integer('rate', 400, 'calls per second over all levels')
 
-WARM_UP = 50
+WARM_UP = pick(50, quick=5)
 SLOTS = 200
 QUANTILES = ('p50_ms', 'p99_ms')
 ROUTES = """
--- a/bench/vm_list.py
+++ b/bench/vm_list.py
@@ -28,6 +28,7 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / 'tests'))
 
+from sizes import pick
 from support import ManualClock, node_vm, upstream_vm
 
 from figdoor_decisions.listing import VmListRead
@@ -54,11 +55,14 @@
     load_plugins,
 )
 
-SIZES = ((30, 20), (1000, 100), (3350, 320), (6700, 640))
-REPEATS = 5
+SIZES = pick(
+    ((30, 20), (1000, 100), (3350, 320), (6700, 640)),
+    quick=((30, 20),),
+)
+REPEATS = pick(5, quick=2)
 ZONES = 7
-FLEETS = (20, 40, 160, 640)
-CHANGES = 10
+FLEETS = pick((20, 40, 160, 640), quick=(20,))
+CHANGES = pick(10, quick=1)
 TICK_MS = 50
 DELAY_MS = 1.5
 # A whole list of 1 MB at 1 Gbit/s and its reading take some 45 ms.
