--- a/tests/ctl/test_check.py
+++ b/tests/ctl/test_check.py
@@ -3,24 +3,11 @@
 from io import StringIO
 
 import pytest
-from support import POOLS, ROUTES
+from support import POOLS, ROUTES, WRONG_POOLS, WRONG_ROUTES
 
 from figdoor_ctl.cli import main
 from figdoor_ctl.commands import COMMANDS
 
-WRONG_ROUTES = """\
-route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
-a,     *,         orders,      GET,        work, GET,        t1,     1000,        20
-b,     *,         /b,          GET,        nope, GET,        t1,     1000,        20
-c,     *,         /c,          GET,        work, POST,       t1,     0,           20
-c,     *,         /d,          GET,        work, GET,        t1,     1000,        20
-"""
-
-WRONG_POOLS = """\
-pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
-work, work,    z1,                 6,     250,         7,          2
-"""
-
 SIX_FINDINGS = """\
 routes:2:path_prefix: 'orders' does not start with /
 routes:4:deadline_ms: 0 is not within 1..600000
--- a/tests/gateway/frontend/test_connection.py
+++ b/tests/gateway/frontend/test_connection.py
@@ -1,22 +1,13 @@
 """Callers' connections: keep-alive, pipelining, limits and slow callers."""
 
 import pytest
-from wires import GET, HEAD, FrontEndRig
+from wires import GET, HEAD
 
 POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
 EXPECT = b'Expect: 100-continue\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-@pytest.fixture
-def rig(monkeypatch):
-    return FrontEndRig(
-        monkeypatch,
-        max_buffered_body_bytes=100,
-        max_body_bytes=1000,
-    )
-
-
 class TestCallerConnection:
     def test_connection_stays_open_between_requests(self, rig):
         connection, wire = rig.request()
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -1,7 +1,7 @@
 """What callers are told, whatever an upstream does."""
 
 import pytest
-from wires import GET, HEAD, FrontEndRig
+from wires import GET, HEAD
 
 from figdoor_kernel import AttemptSent
 
@@ -10,15 +10,6 @@
 CHUNKED = POST + b'Transfer-Encoding: chunked\r\n\r\n'
 
 
-@pytest.fixture
-def rig(monkeypatch):
-    return FrontEndRig(
-        monkeypatch,
-        max_buffered_body_bytes=100,
-        max_body_bytes=1000,
-    )
-
-
 class TestAnswers:
     def test_head_answer_has_a_length_and_no_body(self, rig):
         _, wire = rig.request(GET.replace(b'GET', b'HEAD'))
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -1,7 +1,7 @@
 """Whole answers only, and reuse only of connections that are in order."""
 
 import pytest
-from wires import Wire
+from wires import Receiver, Wire
 
 from figdoor_gateway.protocols import OutboundRequest
 from figdoor_gateway.upstreams._connection import UpstreamConnection
@@ -11,39 +11,6 @@
 WHOLE = OK + b'Content-Length: 2\r\n\r\nab'
 
 
-class Receiver:
-    """Keeps what an attempt reports."""
-
-    def __init__(self):
-        self.heads = []
-        self.text = b''
-        self.ends = []
-        self.on_body = None
-
-    def may_send(self):
-        return True
-
-    def unsent(self, refused):
-        self.ends.append('unsent')
-
-    def head(self, head):
-        self.heads.append(head)
-
-    def body(self, data):
-        self.text += data
-        if self.on_body:
-            self.on_body()
-
-    def flush(self):
-        pass
-
-    def complete(self):
-        self.ends.append('complete')
-
-    def lost(self, connection_died):
-        self.ends.append('died' if connection_died else 'lost')
-
-
 class Source:
     """A request body that can be held back."""
 
--- a/tests/gateway/upstreams/test_transport.py
+++ b/tests/gateway/upstreams/test_transport.py
@@ -11,7 +11,7 @@
     upstream_vm,
 )
 from twisted.internet.testing import MemoryReactorClock
-from wires import Wire, make_settings
+from wires import Receiver, Wire, make_settings
 
 from figdoor_gateway import loop
 from figdoor_gateway.protocols import OutboundRequest
@@ -25,32 +25,6 @@
 """
 
 
-class Receiver:
-    """Keeps how an attempt ended."""
-
-    def __init__(self, allowed=True):
-        self.allowed = allowed
-        self.ends = []
-
-    def may_send(self):
-        return self.allowed
-
-    def unsent(self, refused):
-        self.ends.append('refused' if refused else 'unsent')
-
-    def head(self, head):
-        pass
-
-    def flush(self):
-        pass
-
-    def complete(self):
-        self.ends.append('complete')
-
-    def lost(self, connection_died):
-        self.ends.append('lost')
-
-
 class Rig:
     """A transport on a reactor in memory."""
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -39,6 +39,20 @@
 work, work,    z1 z2,              6,     250,         1,          2
 """
 
+# Tables with six findings.
+WRONG_ROUTES = """\
+route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
+a,     *,         orders,      GET,        work, GET,        t1,     1000,        20
+b,     *,         /b,          GET,        nope, GET,        t1,     1000,        20
+c,     *,         /c,          GET,        work, POST,       t1,     0,           20
+c,     *,         /d,          GET,        work, GET,        t1,     1000,        20
+"""
+
+WRONG_POOLS = """\
+pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
+work, work,    z1,                 6,     250,         7,          2
+"""
+
 
 class ManualClock:
     """A node's clock that stands on Twisted's ``Clock``."""
--- a/tests/tables/test_reading.py
+++ b/tests/tables/test_reading.py
@@ -4,26 +4,13 @@
 
 import pytest
 from returns.pipeline import is_successful
-from support import POOLS, ROUTES
+from support import POOLS, ROUTES, WRONG_POOLS, WRONG_ROUTES
 
 from figdoor_kernel import Revision
 from figdoor_tables import TablesReader, read_tables
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 
-WRONG_ROUTES = """\
-route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
-a,     *,         orders,      GET,        work, GET,        t1,     1000,        20
-b,     *,         /b,          GET,        nope, GET,        t1,     1000,        20
-c,     *,         /c,          GET,        work, POST,       t1,     0,           20
-c,     *,         /d,          GET,        work, GET,        t1,     1000,        20
-"""
-
-WRONG_POOLS = """\
-pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
-work, work,    z1,                 6,     250,         7,          2
-"""
-
 
 def findings_of(routes, pools):
     return [
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -138,6 +138,40 @@
         pass
 
 
+class Receiver:
+    """Keeps what an attempt reports."""
+
+    def __init__(self, allowed=True):
+        self.allowed = allowed
+        self.heads = []
+        self.text = b''
+        self.ends = []
+        self.on_body = None
+
+    def may_send(self):
+        return self.allowed
+
+    def unsent(self, refused):
+        self.ends.append('refused' if refused else 'unsent')
+
+    def head(self, head):
+        self.heads.append(head)
+
+    def body(self, data):
+        self.text += data
+        if self.on_body:
+            self.on_body()
+
+    def flush(self):
+        pass
+
+    def complete(self):
+        self.ends.append('complete')
+
+    def lost(self, connection_died):
+        self.ends.append('died' if connection_died else 'lost')
+
+
 class FrontEndRig:
     """A front end whose callers and upstreams are played by the test."""
 
