Drive all decision plug-ins in the policy bench, and zones with seeds

Cause: bench/policies.py left out cold starts, homes and messages between the nodes, so its figures were not those of a node. bench/zones.py had its own copy of that part, one seed and only healthy workers. Change: policy_run.Run holds nodes with all decision plug-ins, messages, confirmations and troubles; zones.py only changes the tables. Ruled out: a time box for seeds, since the whole run is bounded by the cases.

--- a/bench/fake_workers.py
+++ b/bench/fake_workers.py
@@ -53,14 +53,15 @@
     """Runs ``SLOTS`` jobs at once, queues ``QUEUE`` more, sheds the rest.
 
     ``slow`` lists intervals in which work advances at a tenth of its speed,
-    ``failing`` one in which every request is answered with an error at once.
+    ``failing`` those in which every request is answered with an error at once.
     """
 
     name: str
     clock: VirtualClock
     random: object
+    on_restart: object = lambda name: None
     slow: list = field(default_factory=list)
-    failing: tuple = (0.0, 0.0)
+    failing: list = field(default_factory=list)
     down_until_ms: float = 0.0
     cold_until_ms: float = 0.0
     instance: int = 1
@@ -84,8 +85,8 @@
         now_ms = self.clock.time_ms
         return (
             self.is_down
-            or self.failing[0] <= now_ms < self.failing[1]
-            or any(begin <= now_ms < end for begin, end in self.slow)
+            or is_inside(now_ms, self.failing)
+            or is_inside(now_ms, self.slow)
             or (now_ms < self.cold_until_ms and bool(self.running))
         )
 
@@ -93,7 +94,7 @@
         now_ms = self.clock.time_ms
         if self.is_down:
             answer(AttemptResult(AttemptState.LOST, connection_died=True), None)
-        elif self.failing[0] <= now_ms < self.failing[1]:
+        elif is_inside(now_ms, self.failing):
             failed = AttemptResult(AttemptState.ANSWERED, failed=True)
             answer(failed, self.report())
         elif now_ms < self.cold_until_ms and len(self.running) >= COLD_BEARS:
@@ -120,6 +121,7 @@
             job.dropped = True
         for answer in (*(job.answer for job in jobs), *more_lost):
             answer(lost, None)
+        self.on_restart(self.name)
 
     def finish_ms(self, start_ms, work_ms):
         """Return when work that starts now is done, slow intervals counted."""
@@ -152,3 +154,8 @@
         job.answer(AttemptResult(AttemptState.ANSWERED), self.report())
         if self.waiting:
             self._begin(self.waiting.popleft())
+
+
+def is_inside(now_ms, intervals):
+    """Return whether a time lies in one of some intervals."""
+    return any(begin_ms <= now_ms < end_ms for begin_ms, end_ms in intervals)
--- a/bench/policy_run.py
+++ b/bench/policy_run.py
@@ -1,6 +1,15 @@
-"""One run of `policies.py`: nodes, fake workers and calls in between."""
+"""One run of `policies.py` or `zones.py`.
 
+Nodes with all decision plug-ins, messages between them, fake workers and
+calls, on a virtual clock.
+"""
+
+import gc
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from importlib.metadata import entry_points
 from random import Random
+from statistics import median
 
 from fake_workers import (
     LOCAL_ONE_WAY_MS,
@@ -12,17 +21,22 @@
 )
 
 from figdoor_kernel import (
+    PLUGIN_GROUP,
     AttemptResult,
     AttemptState,
     Call,
+    ConnectionsClosed,
     Dispatcher,
     Extension,
     Finish,
     Node,
     Options,
     Outcome,
+    PeerMessageReceived,
+    PeerMessageWanted,
     Registry,
     Send,
+    ServiceConfirmed,
     TablesAccepted,
     Tick,
     Vm,
@@ -34,12 +48,18 @@
 WORKERS = 20
 ZONES = ('z1', 'z2', 'z3', 'z4')
 TICK_MS = 50
-WARM_UP_MS = 200
-END_MS = 1200
-SLOW_STARTS_MS = (250, 600, 950)
+CONFIRM_MS = 500
+# Home nodes act at 2,000 ms: list lag, 500 ms and the longest deadline.
+VM_LIST_LAG_MS = 500
+BEGIN_MS = 2100
+# By then all upstreams have been warmed up.
+MEASURE_MS = 2700
 SLOW_MS = 200
-FAILING_MS = (300, 600)
-RESTART_MS = 700
+# Counted from the beginning of the trouble.
+SLOW_STARTS_MS = (50, 400, 750)
+FAILING_MS = (100, 400)
+RESTART_MS = 500
+PROCESSES = 2
 
 ROUTES = """
 route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
@@ -77,18 +97,29 @@
 
 
 class Run:
-    """One policy at one load from some nodes with one seed."""
+    """One policy at one load from some nodes with one seed.
+
+    Troubles begin at each time of ``troubles_ms`` and last for a second.
+    """
 
-    def __init__(self, policy, load, nodes, seed, plugins):
+    def __init__(self, policy, load, nodes, seed, end_ms, troubles_ms=()):
         self.clock = VirtualClock()
         self.random = Random(seed)
         self.load = load
-        self.latencies_ms = []
-        self.opened = 0
-        self.refused = 0
-        self.failed = 0
-        self.workers = self._make_workers(Random(seed + 100))
-        vm_list = VmList(
+        self.end_ms = end_ms
+        self.calls = []
+        self.workers = {
+            f'w{index}': Worker(
+                f'w{index}',
+                self.clock,
+                self.random,
+                self._close_connections,
+            )
+            for index in range(WORKERS)
+        }
+        for begin_ms in troubles_ms:
+            self._make_trouble(Random(seed + 100 + begin_ms), begin_ms)
+        self.vm_list = VmList(
             tuple(
                 Vm(name, 'work', zone_of(index), '127.0.0.1', 1)
                 for index, name in enumerate(self.workers)
@@ -98,75 +129,128 @@
                 for index in range(nodes)
             ),
         )
-        tables = read_tables(1, ROUTES, POOLS).unwrap()
-        self.dispatchers = []
-        for index in range(nodes):
-            registry = Registry()
-            for plugin in plugins:
-                plugin.register(registry)
-            registry.provide(Extension.CHOOSER, 'oracle', self._make_oracle)
-            node = Node(
-                f'n{index}',
-                zone_of(index),
-                self.clock,
-                Random(self.random.random()),
-                registry,
-                Options(chooser=policy),
-            )
-            self.dispatchers.append(Dispatcher(node))
-            node.events.publish(VmListChanged(vm_list, 0))
-            node.events.publish(TablesAccepted(tables, 0))
+        self.dispatchers = [
+            self._make_dispatcher(index, policy) for index in range(nodes)
+        ]
+        self.nodes = {
+            dispatcher.node.node_id: dispatcher.node
+            for dispatcher in self.dispatchers
+        }
+        for node in self.nodes.values():
+            node.events.publish(VmListChanged(self.vm_list, 0))
+            self.accept(node, 2, POOLS)
 
     def run(self):
         """Let calls arrive until the end and all be answered."""
-        self.clock.at(0, self._arrive)
-        for tick_ms in range(0, END_MS, TICK_MS):
-            self.clock.at(tick_ms, self._tick)
+        for at_ms in range(0, self.end_ms, TICK_MS):
+            self.clock.at(at_ms, self._tick)
+        for at_ms in range(0, self.end_ms, CONFIRM_MS):
+            self.clock.at(at_ms, self._confirm)
+        self.clock.at(BEGIN_MS, self._arrive)
         self.clock.run()
         return self
 
-    def figures(self):
-        """Return p50, p99 and p99.9, refused and failed shares."""
-        ordered = sorted(self.latencies_ms)
+    def accept(self, node, revision, pools):
+        """Bring tables into force at one node."""
+        tables = read_tables(revision, ROUTES, pools).unwrap()
+        node.events.publish(TablesAccepted(tables, self.clock.time_ms))
+
+    def figures(self, begin_ms, end_ms):
+        """Return p50, p99 and p99.9, refused and failed shares.
+
+        Calls count that were opened in the interval.
+        """
+        inside = [call for call in self.calls if begin_ms <= call[0] < end_ms]
+        answered = sorted(
+            latency_ms
+            for _, outcome, latency_ms in inside
+            if outcome is Outcome.ANSWERED
+        )
+        refused = sum(call[1] is Outcome.NOT_RUN for call in inside)
         return (
             *(
-                ordered[int(len(ordered) * share)]
+                answered[int(len(answered) * share)]
                 for share in (0.5, 0.99, 0.999)
             ),
-            100 * self.refused / self.opened,
-            100 * self.failed / self.opened,
+            100 * refused / len(inside),
+            100 * (len(inside) - refused - len(answered)) / len(inside),
         )
 
+    def _make_dispatcher(self, index, policy):
+        registry = Registry()
+        for register in decision_plugins():
+            register(registry)
+        registry.provide(Extension.CHOOSER, 'oracle', self._make_oracle)
+        node = Node(
+            f'n{index}',
+            zone_of(index),
+            self.clock,
+            Random(self.random.random()),
+            registry,
+            Options(chooser=policy, vm_list_lag_ms=VM_LIST_LAG_MS),
+        )
+        dispatcher = Dispatcher(node)
+        node.parts(Extension.SERVICE)
+        node.events.subscribe(
+            PeerMessageWanted,
+            lambda event: self._deliver(node, event),
+        )
+        return dispatcher
+
     def _make_oracle(self, node):
         return Oracle(node, self.workers)
 
-    def _make_workers(self, random):
-        workers = {
-            f'w{index}': Worker(f'w{index}', self.clock, self.random)
-            for index in range(WORKERS)
-        }
-        names = list(workers)
+    def _make_trouble(self, random, begin_ms):
+        names = list(self.workers)
         for start_ms in SLOW_STARTS_MS:
             for name in random.sample(names, 2):
-                workers[name].slow.append((start_ms, start_ms + SLOW_MS))
+                slow_ms = begin_ms + start_ms
+                self.workers[name].slow.append((slow_ms, slow_ms + SLOW_MS))
         failing, restarting = random.sample(names, 2)
-        workers[failing].failing = FAILING_MS
-        self.clock.at(RESTART_MS, workers[restarting].restart)
-        return workers
+        self.workers[failing].failing.append(
+            tuple(begin_ms + at_ms for at_ms in FAILING_MS),
+        )
+        self.clock.at(begin_ms + RESTART_MS, self.workers[restarting].restart)
+
+    def _close_connections(self, name):
+        closed_ms = self.clock.time_ms + REMOTE_ONE_WAY_MS
+        for node in self.nodes.values():
+            closed = ConnectionsClosed(name, closed_ms)
+            self.clock.at(closed_ms, node.events.publish, closed)
 
     def _tick(self):
-        for dispatcher in self.dispatchers:
-            dispatcher.node.events.publish(Tick(self.clock.time_ms))
+        for node in self.nodes.values():
+            node.events.publish(Tick(self.clock.time_ms))
+
+    def _confirm(self):
+        for node in self.nodes.values():
+            revision = node.tables.revision
+            confirmed = ServiceConfirmed(self.clock.time_ms, revision)
+            node.events.publish(confirmed)
+
+    def _deliver(self, sender, event):
+        receiver = self.nodes.get(event.target)
+        if receiver is not None:
+            self.clock.at(
+                self.clock.time_ms + REMOTE_ONE_WAY_MS,
+                self._receive,
+                receiver,
+                sender.node_id,
+                event.message,
+            )
+
+    def _receive(self, receiver, sender, message):
+        now_ms = self.clock.time_ms
+        received = PeerMessageReceived(sender, message, now_ms)
+        receiver.events.publish(received)
 
     def _arrive(self):
         now_ms = self.clock.time_ms
-        if now_ms >= END_MS:
+        if now_ms >= self.end_ms:
             return
         rate_per_ms = self.load * WORKERS * SLOTS / SERVICE_MEAN_MS
-        self.clock.at(
-            now_ms + self.random.expovariate(rate_per_ms),
-            self._arrive,
-        )
+        gap_ms = self.random.expovariate(rate_per_ms)
+        self.clock.at(now_ms + gap_ms, self._arrive)
         dispatcher = self.random.choice(self.dispatchers)
         exchange = dispatcher.open(SHARED_CALL, now_ms, ignore_wake)
         zone = dispatcher.node.availability_zone
@@ -204,7 +288,7 @@
             self.clock.at(self.clock.time_ms + one_way_ms, take, seen, report)
 
         if worker.is_down:
-            # Its connections are closed and it accepts no new one.
+            # It accepts no connection.
             refused = AttemptResult(
                 AttemptState.UNSENT_FAILURE,
                 connection_died=True,
@@ -216,15 +300,42 @@
             self._step(exchange, opened_ms, zone)
 
     def _finish(self, step, opened_ms, failed):
-        if opened_ms < WARM_UP_MS:
-            return
-        self.opened += 1
-        if step.outcome is Outcome.NOT_RUN:
-            self.refused += 1
-        elif failed or step.outcome is Outcome.UNKNOWN:
-            self.failed += 1
-        else:
-            self.latencies_ms.append(self.clock.time_ms - opened_ms)
+        outcome = Outcome.UNKNOWN if failed else step.outcome
+        latency_ms = self.clock.time_ms - opened_ms
+        self.calls.append((opened_ms, outcome, latency_ms))
+
+
+def decision_plugins():
+    """Return how to register each decision plug-in, but for those left out.
+
+    For example ``--without=limits`` on the command line leaves one out.
+    """
+    points = sorted(
+        entry_points(group=PLUGIN_GROUP),
+        key=lambda point: point.name,
+    )
+    return [
+        point.load()
+        for point in points
+        if point.value.startswith('figdoor_decisions')
+        and f'--without={point.name}' not in sys.argv
+    ]
+
+
+def run_seeds(measure, cases, seeds):
+    """Yield each case with a row of (median, lowest, highest) over seeds.
+
+    ``measure`` takes a case and a seed and returns figures. Runs do not
+    share anything, so they use two processes.
+    """
+    with ProcessPoolExecutor(PROCESSES, initializer=gc.freeze) as pool:
+        futures = [
+            [pool.submit(measure, case, seed) for seed in seeds]
+            for case in cases
+        ]
+        for case, parts in zip(cases, futures, strict=True):
+            rows = zip(*(part.result() for part in parts), strict=True)
+            yield case, [(median(row), min(row), max(row)) for row in rows]
 
 
 def zone_of(index):
