Loosen the limits that bind only on upstreams that work well

Cause: the limits cost the adaptive policy p99 at 80% load since they select adversely. A report younger than 10 ms held a node back from 1.5 times the slots on, and a shed halved the cap for 100 ms. Only upstreams that work well report and shed; slowed ones do neither, so calls were left with them, and with the one that fails fast. Change: the report rule binds at twice the slots, as the cap does, and a shed takes one off the cap. The caps, their sum over the nodes and the floor of 2 are as before.

--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
@@ -19,8 +19,6 @@
 # Nodes are not equally busy at the same moment, and upstreams queue a few
 # requests before they shed. A cap of the fair share refused 7% at 80% load.
 OVERCOMMIT = 2
-# Requests that a fresh report may show beyond the slots, as a share of them.
-QUEUE_SHARE = 0.5
 SHED_WINDOW_MS = 100.0
 # With a cap of 1 after a shed, calls were left with failing upstreams.
 MIN_CAP = 2
@@ -68,9 +66,12 @@
 class InFlightLimit:
     """Caps own attempts in flight at each upstream of the node's subset.
 
-    A shed halves the cap, at most once within a window, since requests that
-    left together are shed together. Each answer gives one back once a window
-    has passed without a shed.
+    A shed lowers the cap by one, at most once within a window, since requests
+    that left together are shed together. Each answer gives one back once a
+    window has passed without a shed.
+
+    Only upstreams that answer report and shed. A limit that binds early on
+    these leaves calls with slowed and failing ones, which do neither.
     """
 
     def __init__(self, node: Node) -> None:
@@ -139,7 +140,7 @@
             return
         if event.state is AttemptState.SHED:
             floor = min(limit.share, MIN_CAP)
-            limit.cap = max(floor, limit.cap // 2)
+            limit.cap = max(floor, limit.cap - 1)
             limit.shed_at_ms = event.now_ms
         elif event.state is AttemptState.ANSWERED:
             limit.cap = min(limit.share, limit.cap + 1)
@@ -151,7 +152,7 @@
             # The attempt whose answer brings the report is over there.
             own = max(0, upstream.in_flight - 1)
             others = max(0, event.report.running - own)
-            limit.room = int(limit.slots * (1 + QUEUE_SHARE)) - others
+            limit.room = OVERCOMMIT * limit.slots - others
             limit.others_at_ms = event.now_ms
 
     def _on_vm_list(self, event: VmListChanged) -> None:
