Eject upstreams that fail again and again, for a bounded time

Cause: an upstream that fails fast is always below its caps. Once the others are at theirs it is what is left, whatever the policy thinks of it, and the policies other than adaptive prefer its low count anyway. Change: a candidate rule with its own plug-in, figdoor_decisions.outliers. After two failures in a row of own attempts a node sends nothing for 100 ms, then for twice as long with each further failure, up to 1 s, until an answer without failure. At most a fifth of the pool's live upstreams in service are out at a time, at least one but never the only one. Conclusion: one failing upstream no longer draws calls under any policy.

--- /dev/null
+++ b/tests/decisions/test_outliers.py
@@ -0,0 +1,111 @@
+"""Ejection of upstreams that fail fast."""
+
+import pytest
+from support import (
+    confirm,
+    give_tables,
+    give_vms,
+    make_call,
+    make_node,
+    upstream_vm,
+)
+
+from figdoor_kernel import (
+    AttemptResult,
+    AttemptState,
+    Dispatcher,
+    Extension,
+    Verdict,
+)
+
+FAILED = AttemptResult(AttemptState.ANSWERED, failed=True)
+DIED = AttemptResult(AttemptState.LOST, connection_died=True)
+ANSWERED = AttemptResult(AttemptState.ANSWERED)
+
+
+class TestOutlierEjection:
+    def setup_method(self):
+        self.start(10)
+
+    def start(self, upstreams):
+        self.node = make_node()
+        names = [f'w{index}' for index in range(upstreams)]
+        give_vms(self.node, *(upstream_vm(name) for name in names))
+        give_tables(self.node)
+        self.dispatcher = Dispatcher(self.node)
+        self.rule = self.node.part(
+            Extension.CANDIDATE_RULE,
+            'outlier-ejection',
+        )
+
+    def see(self, name, *results):
+        """End one attempt at the named upstream for each result."""
+        upstream = self.node.fleet.find(name)
+        self.dispatcher.chooser = self
+        for seen in results:
+            confirm(self.node)
+            now_ms = self.node.clock.now_ms()
+            self.choose = lambda *_: upstream
+            exchange = self.dispatcher.open(make_call(), now_ms, lambda: None)
+            exchange.next_step(now_ms)
+            assert exchange.confirm_send(now_ms)
+            if seen.state is AttemptState.ANSWERED:
+                exchange.begin_answer()
+            exchange.end(seen, now_ms)
+        self.routed = exchange.routed
+
+    def ejected(self):
+        now_ms = self.node.clock.now_ms()
+        return {
+            upstream.upstream_id
+            for upstream in self.node.fleet.upstreams()
+            if self.rule.judge(upstream, self.routed, now_ms) is Verdict.DENY
+        }
+
+    @pytest.mark.parametrize('seen', [FAILED, DIED])
+    def test_upstream_that_fails_twice_in_a_row_is_ejected(self, seen):
+        # The failure: it alone was below its caps and got most calls.
+        self.see('w1', seen)
+        assert not self.ejected()
+        self.see('w1', seen)
+        assert self.ejected() == {'w1'}
+
+    @pytest.mark.parametrize(
+        'seen',
+        [
+            ANSWERED,
+            AttemptResult(AttemptState.SHED),
+            AttemptResult(AttemptState.LOST),
+        ],
+    )
+    def test_other_ends_eject_nothing(self, seen):
+        # The failure: a shed, or a caller that left, counted as a failure.
+        self.see('w1', seen, seen, seen)
+        assert not self.ejected()
+
+    def test_answer_in_between_ejects_nothing(self):
+        # The failure: one caller's faulty requests ejected every upstream.
+        self.see('w1', FAILED, ANSWERED, FAILED, ANSWERED)
+        assert not self.ejected()
+
+    def test_time_out_of_use_doubles_and_is_bounded(self):
+        self.see('w1', FAILED)
+        lasted = []
+        for _ in range(6):
+            self.see('w1', FAILED)
+            lasted.append(0)
+            while self.ejected():
+                self.node.clock.advance_ms(100)
+                lasted[-1] += 100
+        assert lasted == [100, 200, 400, 800, 1000, 1000]
+
+    @pytest.mark.parametrize(
+        ('upstreams', 'most'),
+        [(1, 0), (2, 1), (5, 1), (10, 2)],
+    )
+    def test_share_of_the_pool_is_bounded(self, upstreams, most):
+        # The failure: requests that fail everywhere left no upstream.
+        self.start(upstreams)
+        for index in range(upstreams):
+            self.see(f'w{index}', FAILED, FAILED)
+        assert len(self.ejected()) == most
