Put tables in force only once a majority holds them

Cause: a part of the fleet that reached the configuration service could put a change in force which a larger part, cut off from it and from the service, could not learn of. The larger part kept its leases by its own majority and went on with the older tables. A single node that was cut off from its peers and read a stale service renewed its lease by that service alone, without end.

Change: a node first holds a pair that it has read (TablesHeld). Heartbeats carry the newest revision held, peers fetch held pairs, and a pair comes into force once at least half of the neighbours hold it. A node with a held pair that is not in force gets no confirmation. Reads of the service confirm the lease only of a node without neighbours. A neighbour without tables in force confirms nothing, and a starting node needs answers of more than half of its neighbours, since a replaced node may have lost the newest revision with its memory. The last two were found by the state machine.

Tests: the state machine now cuts any nodes off from the service, or serves them an old value, and publishes to one part of a split.

Ruled out: confirmation by the service or by a peer that confirmed with it lately, since the whole fleet would stop 2 s after an outage begins. Claims without fetching, since the one node that has the pair could vanish after putting it in force.

--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
@@ -9,11 +9,13 @@
     Finding,
     NewsWanted,
     Node,
+    PeerMessageReceived,
     Revision,
     RevisionAccepted,
     Service,
     Tables,
     TablesAccepted,
+    TablesHeld,
     TablesOffered,
     TablesRefused,
     Tick,
@@ -22,7 +24,7 @@
 
 
 class StartRule(Protocol):
-    """Says whether a node knows enough to put its first tables in force."""
+    """Says whether a node knows enough to put tables in force."""
 
     joined: bool
 
@@ -38,8 +40,9 @@
 
     The pair with the highest revision that has no findings is in force. A
     refused revision is remembered, so that operators can read its findings
-    and it is not read again. The first pair is held back until the start
-    rule allows it, since the service may serve an old one.
+    and it is not read again. A pair is held back until the start rule allows
+    it: the first one because the service may serve an old one, later ones
+    until enough neighbours hold them too.
     """
 
     def __init__(self, node: Node) -> None:
@@ -54,7 +57,9 @@
         self.refused_revision = Revision(0)
         self.findings: tuple[Finding, ...] = ()
         node.events.subscribe(TablesOffered, self._on_offered)
-        node.events.subscribe(Tick, self._on_tick)
+        # The start rule has seen the message by then: it subscribed earlier.
+        node.events.subscribe(PeerMessageReceived, self._on_progress)
+        node.events.subscribe(Tick, self._on_progress)
 
     @property
     def revision(self) -> Revision:
@@ -88,11 +93,12 @@
         ):
             case Success(tables):
                 self._held = tables
+                self._node.events.publish(TablesHeld(tables, event.now_ms))
                 self._accept_held(event.now_ms)
             case Failure(findings):
                 self._refuse(event, findings)
 
-    def _on_tick(self, event: Tick) -> None:
+    def _on_progress(self, event: Tick | PeerMessageReceived) -> None:
         if self._held is not None:
             self._accept_held(event.now_ms)
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -7,37 +7,39 @@
     Revision,
     RoutedCall,
     Service,
-    ServiceConfirmed,
+    TablesHeld,
 )
 
 
 class ConfigLease(Service):
     """Remembers the latest point in time at which the tables were confirmed.
 
-    A read of the service confirms the time at which it began, so that an
-    answer that a paused process finds in its buffers proves nothing new. A
-    node that knows of a newer revision than its own gets no confirmation
-    until it has accepted that revision: its tables are superseded, even where
-    a stale service or other neighbours that lag behind say otherwise.
+    A node that knows of a newer revision than the one in force gets no
+    confirmation until it has accepted that revision: its tables may be
+    superseded, even where other neighbours that lag behind say otherwise.
     """
 
     def __init__(self, node: Node) -> None:
-        """Follow confirmations of the service."""
+        """Follow the tables that the node has read."""
         self._node = node
         self._lease_ms = node.options.lease_ms
         self._newer = Revision(0)
         self._newer_at_ms: float = 0
-        self._probation_since_ms: float | None = None
-        self._last_service_ms: float = 0
+        self._held = Revision(0)
         self.confirmed_at_ms: float | None = None
-        node.events.subscribe(ServiceConfirmed, self._on_confirmed)
+        node.events.subscribe(TablesHeld, self._on_held)
+
+    @property
+    def known_revision(self) -> Revision:
+        """The newest revision that the node has read without findings."""
+        tables = self._node.tables
+        return max(self._held, tables.revision if tables else Revision(0))
 
     def confirm(self, at_ms: float) -> None:
         """Note that the tables were confirmed as of ``at_ms``."""
         if self._is_superseded(at_ms):
             return
         known = self.confirmed_at_ms
-        self._probation_since_ms = None
         self.confirmed_at_ms = at_ms if known is None else max(known, at_ms)
 
     def note_newer(self, revision: Revision, now_ms: float) -> None:
@@ -57,38 +59,15 @@
             return False
         return now_ms - confirmed_at_ms <= self._lease_ms
 
-    def _on_confirmed(self, event: ServiceConfirmed) -> None:
-        if event.revision < self._own_revision():
-            return
-        read_ms = event.read_started_ms
-        if self.holds(read_ms) or self._has_passed_probation(read_ms):
-            self.confirm(read_ms)
-
-    def _has_passed_probation(self, read_ms: float) -> bool:
-        """Tell whether the service alone may renew a lease that ran out.
-
-        The first lease is free of this: the start rule has held the tables
-        back until the neighbours had their say.
-
-        The service can be stale, and what the other nodes accepted meanwhile
-        shows only in their answers. So they get the time that a starting node
-        gives them, during which the service must go on confirming.
-        """
-        if self.confirmed_at_ms is None or len(self._node.fleet.nodes()) <= 1:
-            return True
-        gap_ms = read_ms - self._last_service_ms
-        self._last_service_ms = read_ms
-        if self._probation_since_ms is None or gap_ms > self._lease_ms:
-            self._probation_since_ms = read_ms
-        waited_ms = read_ms - self._probation_since_ms
-        return waited_ms >= self._node.options.join_timeout_ms
-
-    def _own_revision(self) -> Revision:
-        tables = self._node.tables
-        return tables.revision if tables else Revision(0)
+    def _on_held(self, event: TablesHeld) -> None:
+        self._held = event.tables.revision
 
     def _is_superseded(self, at_ms: float) -> bool:
-        return self._newer > self._own_revision() and not self._is_void(at_ms)
+        tables = self._node.tables
+        own = tables.revision if tables else Revision(0)
+        if tables and self._held > own:
+            return True
+        return self._newer > own and not self._is_void(at_ms)
 
     def _is_void(self, now_ms: float) -> bool:
         return now_ms - self._newer_at_ms > self._lease_ms
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_contacts.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_contacts.py
@@ -39,11 +39,31 @@
         """Return the present neighbours that ever acknowledged."""
         return tuple(one for one in self.present() if one.acked_ms is not None)
 
+    def note_revision(self, peer: NodeId, revision: Revision) -> None:
+        """Note a revision that a neighbour told of its own accord."""
+        contact = self.by_id.get(peer)
+        if contact is not None:
+            contact.revision = max(contact.revision, revision)
+
+    @property
+    def half(self) -> int:
+        """Half of the present neighbours, with the node itself a majority."""
+        return (len(self.present()) + 1) // 2
+
+    def hold(self, revision: Revision) -> bool:
+        """Return whether at least half hold this revision or a newer one."""
+        holders = [one for one in self.present() if one.revision >= revision]
+        return len(holders) >= self.half
+
     def confirmed_at_ms(self) -> float | None:
-        """Return the latest time of sending that half have acknowledged."""
-        half = (len(self.present()) + 1) // 2
+        """Return the latest time of sending that half have acknowledged.
+
+        A neighbour that has not joined may have lost the newest revision
+        with its memory, so it confirms nothing.
+        """
+        half = self.half
         sent_ms = sorted(
-            one.acked_ms for one in self.acked() if one.acked_ms is not None
+            one.acked_ms or 0 for one in self.acked() if one.revision
         )
         if not half or len(sent_ms) < half:
             return None
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_heartbeats.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_heartbeats.py
@@ -20,7 +20,9 @@
     Revision,
     RevisionAccepted,
     RevisionBehind,
+    ServiceConfirmed,
     ServiceFailed,
+    TablesHeld,
     Tick,
     VmListChanged,
 )
@@ -50,12 +52,15 @@
         self._spread_ms = node.random.random() * node.options.heartbeat_ms
         self._next_ms: float | None = None
         self._now_ms: float = 0
+        self._told = Revision(0)
         self.contacts = Contacts()
         events = node.events
         events.subscribe(VmListChanged, self._on_vm_list)
         events.subscribe(Tick, self._on_tick)
         events.subscribe(NewsWanted, self._on_wanted)
+        events.subscribe(TablesHeld, self._on_held)
         events.subscribe(PeerMessageReceived, self._on_message)
+        events.subscribe(ServiceConfirmed, self._on_service_confirmed)
         events.subscribe(ServiceFailed, self._on_service_failed)
 
     def start(self) -> None:
@@ -72,8 +77,14 @@
         return self._neighbours.listed and not self.contacts.present()
 
     def _own_revision(self) -> Revision:
-        tables = self._node.tables
-        return tables.revision if tables else Revision(0)
+        """Return what this node tells its peers, 0 until it has joined.
+
+        A pair that is held counts: the peers put it in force only once
+        enough nodes hold it.
+        """
+        if self._node.tables is None:
+            return Revision(0)
+        return self._lease.known_revision
 
     def _on_vm_list(self, event: VmListChanged) -> None:
         known = set(self.contacts.by_id)
@@ -91,10 +102,21 @@
 
     def _on_wanted(self, event: NewsWanted) -> None:
         if isinstance(event.news, RevisionAccepted):
-            self._ask_all(event.now_ms)
-            for peer in self._neighbours.edges(event.now_ms):
-                if peer not in self.contacts.by_id:
-                    self._ask(peer, Contact(event.now_ms), event.now_ms)
+            self._tell_revision(event.now_ms)
+
+    def _on_held(self, event: TablesHeld) -> None:
+        self._tell_revision(event.now_ms)
+
+    def _tell_revision(self, now_ms: float) -> None:
+        """Ask along all edges at once, unless this revision was told."""
+        revision = self._own_revision()
+        if revision <= self._told:
+            return
+        self._told = revision
+        self._ask_all(now_ms)
+        for peer in self._neighbours.edges(now_ms):
+            if peer not in self.contacts.by_id:
+                self._ask(peer, Contact(now_ms), now_ms)
 
     def _ask_all(self, now_ms: float) -> None:
         self._tokens.append(now_ms)
@@ -112,6 +134,7 @@
         match event.message:
             case Heartbeat(token_ms, revision):
                 self._mark_left(peer, left=False)
+                self.contacts.note_revision(peer, revision)
                 ack = HeartbeatAck(token_ms, self._own_revision())
                 self._send(peer, ack)
                 self._compare(peer, revision, event.now_ms)
@@ -146,7 +169,7 @@
         revision: Revision,
         now_ms: float,
     ) -> None:
-        if revision > self._own_revision():
+        if revision > self._lease.known_revision:
             self._lease.note_newer(revision, now_ms)
             self._node.events.publish(RevisionBehind(peer, revision, now_ms))
             return
@@ -154,6 +177,17 @@
         if confirmed_at_ms is not None:
             self._lease.confirm(confirmed_at_ms)
 
+    def _on_service_confirmed(self, event: ServiceConfirmed) -> None:
+        """Rely on the service alone only where there are no neighbours.
+
+        It may be stale, and a node that does not hear from its neighbours
+        cannot tell.
+        """
+        if self.contacts.present():
+            return
+        if event.revision >= self._lease.known_revision:
+            self._lease.confirm(event.read_started_ms)
+
     def _on_service_failed(self, event: ServiceFailed) -> None:
         if self.alone and self._node.tables is not None:
             self._lease.confirm(event.read_started_ms)
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
@@ -13,12 +13,19 @@
 
 
 class Joining(Service):
-    """Holds the first tables back until the node knows the newest revision.
+    """Holds tables back until the node may put them in force.
+
+    The first tables wait until the node knows the newest revision.
 
     A neighbour that acknowledges with revision 0 has not joined itself. One
-    that has joined knows the newest revision, so half of the neighbours are
-    enough if one of them has joined. Where all neighbours answer and none
+    that has joined knows the newest revision, so more than half of the
+    neighbours are enough if one of them has joined: the node itself may be
+    one of those that held the newest one and has lost it. Where all neighbours answer and none
     has joined, the whole fleet has started together and need not wait.
+
+    Later tables wait until at least half of the neighbours hold them. A
+    small part of the fleet that is cut off thus puts nothing in force that
+    the others cannot know of; its lease runs out instead.
     """
 
     def __init__(self, node: Node) -> None:
@@ -37,7 +44,9 @@
 
     def may_accept(self, revision: Revision, now_ms: float) -> bool:
         """Return whether tables of this revision may come into force."""
-        return self.joined or self.missing(revision, now_ms) is None
+        if self.joined:
+            return self._heartbeats.contacts.hold(revision)
+        return self.missing(revision, now_ms) is None
 
     def missing(self, revision: Revision, now_ms: float) -> str | None:
         """Return what the node waits for, or ``None``."""
@@ -46,10 +55,13 @@
         newest = max((one.revision for one in acked), default=Revision(0))
         if revision < newest:
             return f'revision {newest} of its neighbours'
-        if self._heartbeats.alone or self._timed_out(now_ms):
+        if self._heartbeats.alone:
             return None
         present = contacts.present()
-        needed = (len(present) + 1) // 2 if newest else len(present)
+        needed = len(present) // 2 + 1 if present else 0
+        if self._timed_out(now_ms) and len(acked) >= needed:
+            return None
+        needed = needed if newest else len(present)
         if present and len(acked) >= needed:
             return None
         return f'answers of neighbours, {len(acked)} of {len(present)} came'
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_history.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_history.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from figdoor_gateway.peers._frames import Step, SyncAnswer, SyncRequest
-from figdoor_kernel import Node, Revision, Tables, TablesAccepted
+from figdoor_kernel import Node, Revision, Tables, TablesHeld
 from figdoor_tables import apply_changes, difference
 
 # At 17,000 changes a day about five minutes; older peers get a snapshot.
@@ -26,13 +26,17 @@
 
 
 class History:
-    """Remembers by rows what each accepted revision changed."""
+    """Remembers by rows what each revision changed.
+
+    Peers get a pair before it is in force here, since it comes into force
+    only once they hold it too.
+    """
 
     def __init__(self, node: Node) -> None:
-        """Follow accepted tables."""
+        """Follow the tables that were read."""
         self._tables: Tables | None = None
         self._entries: deque[_Entry] = deque(maxlen=MAX_STEPS)
-        node.events.subscribe(TablesAccepted, self._on_accepted)
+        node.events.subscribe(TablesHeld, self._on_held)
 
     def answer(self, request: SyncRequest) -> SyncAnswer:
         """Return what leads from the asker's revision to this node's."""
@@ -58,7 +62,7 @@
                 return tuple(later.step for later in entries[number:])
         return ()
 
-    def _on_accepted(self, event: TablesAccepted) -> None:
+    def _on_held(self, event: TablesHeld) -> None:
         old = self._tables
         new = event.tables
         self._tables = new
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -155,6 +155,14 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class TablesHeld:
+    """A newer pair of tables was read; it is not yet in force."""
+
+    tables: Tables
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class TablesAccepted:
     """A newer pair of tables is in force."""
--- a/packages/figdoor-traces/src/figdoor_traces/_seeding.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_seeding.py
@@ -17,6 +17,7 @@
     ProbeWanted,
     RevisionBehind,
     TablesAccepted,
+    TablesHeld,
     TablesRefused,
     UpstreamStateChanged,
 )
@@ -31,6 +32,7 @@
     ProbeWanted,
     RevisionBehind,
     TablesAccepted,
+    TablesHeld,
     TablesRefused,
     UpstreamStateChanged,
 )
--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -85,6 +85,29 @@
     def heal(self):
         self.world.network.heal()
         self.world.cut_from_service.clear()
+        self.world.served_stale.clear()
+
+    @rule(cut=st.sets(NODES), stale=st.sets(NODES))
+    def limit_reach_of_service(self, cut, stale):
+        """Cut some nodes off from the service, serve others an old value."""
+        self.world.had_partial_reach = True
+        self.world.cut_from_service = cut
+        self.world.served_stale = stale
+
+    @rule(node=NODES, alone_reads=st.booleans(), zones=ZONES)
+    def publish_to_one_part(self, node, alone_reads, zones):
+        """Split, and let one part read a change that the other cannot.
+
+        The other part cannot reach the service, or is served an old value.
+        """
+        others = {'n1', 'n2', 'n3'} - {node}
+        unreached = others if alone_reads else {node}
+        self.split_off(node)
+        self.limit_reach_of_service(unreached, set())
+        self.publish_zones(zones)
+        self.let_time_pass(3100)
+        self.limit_reach_of_service(set(), unreached)
+        self.let_time_pass(3100)
 
     @rule(node=NODES)
     def cut_from_platform(self, node):
--- a/tests/fuzz/test_oracle.py
+++ b/tests/fuzz/test_oracle.py
@@ -8,6 +8,7 @@
 from figdoor_decisions.configuration import Acceptance, LeaseRule
 from figdoor_decisions.eligibility import AvailabilityZoneRule, LeavingRule
 from figdoor_decisions.measuring import NodeCount, _worth
+from figdoor_decisions.membership._contacts import Contacts
 from figdoor_decisions.stopping import StopPlan
 from figdoor_decisions.warmth import WarmthRule
 from figdoor_decisions.warmth._bounds import ServiceBounds
@@ -53,6 +54,14 @@
     patch.setattr(Acceptance, 'revision', 0)
 
 
+def accept_without_neighbours(patch):
+    patch.setattr(Contacts, 'hold', lambda *_: True)
+
+
+def trust_service_alone(patch):
+    patch.setattr(Contacts, 'present', lambda _: ())
+
+
 def call_lost_not_run(patch):
     forgetful = property(lambda _: False, lambda *_: None)
     patch.setattr(Exchange, '_may_have_run', forgetful, raising=False)
@@ -84,6 +93,8 @@
     ignore_zones: oracle.zones_out_of_service_get_no_new_work,
     ignore_leaving: oracle.leaving_upstreams_get_no_new_work,
     ignore_lease: oracle.configuration_is_spread_and_never_reverts,
+    accept_without_neighbours: oracle.configuration_is_spread_and_never_reverts,
+    trust_service_alone: oracle.configuration_is_spread_and_never_reverts,
     accept_older_tables: oracle.configuration_is_spread_and_never_reverts,
     call_lost_not_run: oracle.not_run_means_not_run,
     call_refused_answered: oracle.callers_get_one_outcome,
--- a/tests/gateway/lifecycle/test_readiness.py
+++ b/tests/gateway/lifecycle/test_readiness.py
@@ -4,7 +4,11 @@
 
 from figdoor_gateway.lifecycle import Readiness
 from figdoor_kernel import (
+    Heartbeat,
+    HeartbeatAck,
     NodeState,
+    PeerMessageReceived,
+    PeerMessageWanted,
     ServiceConfirmed,
     TablesOffered,
     Tick,
@@ -36,8 +40,19 @@
         self.read_service()
         for _ in range(6):
             self.read_service(self.node.options.join_timeout_ms / 6)
+        assert self.readiness.state is NodeState.STARTING
+        self.node.events.subscribe(PeerMessageWanted, self.acknowledge)
+        self.read_service(self.node.options.heartbeat_ms)
+        self.read_service(50)
         assert self.readiness.state is NodeState.READY
 
+    def acknowledge(self, event):
+        if isinstance(event.message, Heartbeat):
+            ack = HeartbeatAck(event.message.token_ms, 1)
+            now_ms = self.node.clock.now_ms()
+            received = PeerMessageReceived(event.target, ack, now_ms)
+            self.node.events.publish(received)
+
     def test_node_whose_lease_ran_out_is_unready(self):
         give_vms(self.node, node_vm('n0'))
         self.read_service()
