Judge silent turns to cold from their first sign on

Cause: the oracle left out workers that turn cold without a restart, and such a worker in the fuzzed world behaved as before, so nothing showed.

Change: a worker that turned cold silently drops what it cannot bear. From the first dead connection on, the node that saw it must send no more than the worker bears for 1 s, and where links were whole all nodes together must not from 10 ms on. test_oracle.py breaks the rule (signs are ignored) and sees the new check fail.

Ruled out: the same bound over splits and pauses. Slow answers and failures without a dead connection are tested alone, not in the state machine.

--- a/tests/fuzz/machine.py
+++ b/tests/fuzz/machine.py
@@ -78,6 +78,7 @@
 
     @rule(node=NODES)
     def split_off(self, node):
+        self.world.had_disturbed_links = True
         others = [name for name in ('n1', 'n2', 'n3') if name != node]
         self.world.network.split([node], others)
 
@@ -126,6 +127,7 @@
 
     @rule(node=NODES)
     def pause(self, node):
+        self.world.had_disturbed_links = True
         self.world.network.paused.setdefault(node, [])
 
     @rule(node=NODES)
--- a/tests/fuzz/oracle.py
+++ b/tests/fuzz/oracle.py
@@ -24,6 +24,19 @@
             assert sent.running <= sent.bears, sent
 
 
+def silently_cold_upstreams_get_no_more_once_they_show_it(world):
+    """P2: a turn to cold without a restart, after its first sign.
+
+    The node that saw the sign sends no more than the upstream bears, and
+    where links are whole all nodes together do not.
+    """
+    for sent in world.sent:
+        if sent.bears == COLD_LIMIT and sent.silent_since_ms is not None:
+            assert sent.since_shown_to_node <= sent.bears, sent
+            if not world.had_disturbed_links:
+                assert sent.since_shown <= sent.bears, sent
+
+
 def zones_out_of_service_get_no_new_work(world):
     """P3: nothing is sent to a zone that has been out for three seconds.
 
@@ -111,6 +124,7 @@
 PROMISES = (
     measuring_stays_within_budget,
     cold_upstreams_get_no_more_than_they_bear,
+    silently_cold_upstreams_get_no_more_once_they_show_it,
     zones_out_of_service_get_no_new_work,
     callers_get_one_outcome,
     not_run_means_not_run,
--- a/tests/fuzz/test_oracle.py
+++ b/tests/fuzz/test_oracle.py
@@ -10,7 +10,7 @@
 from figdoor_decisions.measuring import NodeCount, _worth
 from figdoor_decisions.membership._contacts import Contacts
 from figdoor_decisions.stopping import StopPlan
-from figdoor_decisions.warmth import WarmthRule
+from figdoor_decisions.warmth import WarmthEvidence, WarmthRule
 from figdoor_decisions.warmth._bounds import ServiceBounds
 from figdoor_kernel import (
     AttemptState,
@@ -37,6 +37,10 @@
     _allow_all(patch, WarmthRule)
 
 
+def ignore_signs_of_a_turn_to_cold(patch):
+    patch.setattr(WarmthEvidence, 'turn_cold', lambda *_: None)
+
+
 def ignore_other_nodes_probes(patch):
     patch.setattr(NodeCount, 'largest', lambda *_: 0.2)
     patch.setattr(_worth, 'OLD_REPORT_MS', 0)
@@ -90,6 +94,9 @@
 BROKEN_RULES = {
     ignore_other_nodes_probes: oracle.measuring_stays_within_budget,
     ignore_cold_starts: oracle.cold_upstreams_get_no_more_than_they_bear,
+    ignore_signs_of_a_turn_to_cold: (
+        oracle.silently_cold_upstreams_get_no_more_once_they_show_it
+    ),
     ignore_zones: oracle.zones_out_of_service_get_no_new_work,
     ignore_leaving: oracle.leaving_upstreams_get_no_new_work,
     ignore_lease: oracle.configuration_is_spread_and_never_reverts,
--- a/tests/fuzz/world.py
+++ b/tests/fuzz/world.py
@@ -53,6 +53,10 @@
 STOP_GRACE_MS = 300
 PROBE_MS = 2
 VM_LIST_LAG_MS = 1000
+# News of a turn to cold reaches all nodes within a few hops of 1 ms.
+NEWS_MS = 10
+# For this long a node ignores claims for an instance that turned cold.
+MEMORY_MS = 1000
 
 
 @dataclass(eq=False)
@@ -62,23 +66,47 @@
     name: str
     zone: str
     instance: int = 1
-    running: int = 0
+    flights: list = field(default_factory=list)
     completed: int = 0
     cold: bool = True
     draining_since_ms: float | None = None
     silent_since_ms: float | None = None
+    shown_ms: dict = field(default_factory=dict)
+
+    @property
+    def running(self):
+        return len(self.flights)
+
+    def flights_since(self, since_ms, node=None):
+        """Count running requests that a node, or any, sent since then."""
+        return sum(
+            flight.sent_ms >= since_ms and node in {None, flight.node}
+            for flight in self.flights
+        )
 
     @property
     def bears(self):
         """How many requests at once it bears in its present state."""
         return COLD_LIMIT if self.cold else 4
 
+    @property
+    def is_overloaded_silently(self):
+        return self.silent_since_ms is not None and self.running > self.bears
+
     def report(self):
         mark = InstanceId(f'{self.name}-{self.instance}')
         draining = self.draining_since_ms is not None
         return LoadReport(mark, self.running, draining)
 
 
+@dataclass(eq=False)
+class Flight:
+    """One request that runs at a worker."""
+
+    sent_ms: float
+    node: str
+
+
 @dataclass
 class CallRecord:
     """One request: what was run and what its caller was told."""
@@ -101,6 +129,8 @@
     bears: int
     silent_since_ms: float | None
     draining_since_ms: float | None
+    since_shown_to_node: int
+    since_shown: int
 
 
 class World:
@@ -130,6 +160,7 @@
         self.cut_from_service = set()
         self.served_stale = set()
         self.had_partial_reach = False
+        self.had_disturbed_links = False
         self.sent = []
         self.calls = []
         self.probes = []
@@ -267,7 +298,8 @@
     def restart(self, worker):
         """Start a new, cold instance; its connections close."""
         worker.instance += 1
-        worker.running = 0
+        worker.flights.clear()
+        worker.shown_ms.clear()
         worker.cold = True
         worker.completed = 0
         worker.draining_since_ms = None
@@ -284,6 +316,7 @@
         """Let a worker fall back to cold with nothing to notice."""
         worker.cold = True
         worker.completed = 0
+        worker.shown_ms.clear()
         worker.silent_since_ms = self.clock.now_ms()
 
     def drain(self, worker):
@@ -363,7 +396,11 @@
             self.later(1, self.end, AttemptState.SHED, attempt, worker, 0)
             return
         self.record.executions += 1
-        worker.running += 1
+        self.flight = Flight(now_ms, self.node.node_id)
+        worker.flights.append(self.flight)
+        if worker.is_overloaded_silently:
+            # It falls over only under load, as one that is cold does.
+            self.fate = 'lost'
         world.sent.append(
             SentRecord(
                 now_ms,
@@ -375,6 +412,7 @@
                 worker.bears,
                 worker.silent_since_ms,
                 worker.draining_since_ms,
+                *self.count_since_shown(worker, now_ms),
             ),
         )
         delay_ms = DELAYS_MS.get(self.fate, SERVICE_MS)
@@ -388,13 +426,27 @@
             *((attempt,) if delay_ms < left_ms else ()),
         )
 
+    def count_since_shown(self, worker, now_ms):
+        """Count what runs of that sent since it showed that it is cold.
+
+        At this node within the memory of a turn to cold; over all nodes once
+        the news has had time to arrive.
+        """
+        node = self.node.node_id
+        own_ms = worker.shown_ms.get(node, -MEMORY_MS)
+        own = 0
+        if now_ms - own_ms < MEMORY_MS:
+            own = worker.flights_since(own_ms, node)
+        first_ms = min(worker.shown_ms.values(), default=now_ms)
+        return own, worker.flights_since(first_ms + NEWS_MS)
+
     def cancel(self):
         """Let the worker stop, since its connection closed."""
         if self.running is not None:
             worker, instance = self.running
             self.running = None
             if worker.instance == instance:
-                worker.running -= 1
+                worker.flights.remove(self.flight)
 
     def finish_on_worker(self, attempt):
         if self.running is None:
@@ -414,6 +466,8 @@
             return
         now_ms = self.world.clock.now_ms()
         lost = state is AttemptState.LOST
+        if lost and worker.silent_since_ms is not None:
+            worker.shown_ms[self.node.node_id] = now_ms
         if not lost:
             self.exchange.report(worker.report(), now_ms)
         if state is AttemptState.ANSWERED:
