--- a/tests/fuzz/test_oracle.py
+++ b/tests/fuzz/test_oracle.py
@@ -8,8 +8,9 @@
 from figdoor_decisions.configuration import Acceptance, LeaseRule
 from figdoor_decisions.eligibility import AvailabilityZoneRule, LeavingRule
 from figdoor_decisions.measuring import NodeCount, _worth
+from figdoor_decisions.membership._contacts import Contacts
 from figdoor_decisions.stopping import StopPlan
-from figdoor_decisions.warmth import WarmthRule
+from figdoor_decisions.warmth import WarmthEvidence, WarmthRule
 from figdoor_decisions.warmth._bounds import ServiceBounds
 from figdoor_kernel import (
     AttemptState,
@@ -36,6 +37,10 @@
     _allow_all(patch, WarmthRule)
 
 
+def ignore_signs_of_a_turn_to_cold(patch):
+    patch.setattr(WarmthEvidence, 'turn_cold', lambda *_: None)
+
+
 def ignore_other_nodes_probes(patch):
     patch.setattr(NodeCount, 'largest', lambda *_: 0.2)
     patch.setattr(_worth, 'OLD_REPORT_MS', 0)
@@ -53,6 +58,14 @@
     patch.setattr(Acceptance, 'revision', 0)
 
 
+def accept_without_neighbours(patch):
+    patch.setattr(Contacts, 'hold', lambda *_: True)
+
+
+def trust_service_alone(patch):
+    patch.setattr(Contacts, 'present', lambda _: ())
+
+
 def call_lost_not_run(patch):
     forgetful = property(lambda _: False, lambda *_: None)
     patch.setattr(Exchange, '_may_have_run', forgetful, raising=False)
@@ -81,9 +94,14 @@
 BROKEN_RULES = {
     ignore_other_nodes_probes: oracle.measuring_stays_within_budget,
     ignore_cold_starts: oracle.cold_upstreams_get_no_more_than_they_bear,
+    ignore_signs_of_a_turn_to_cold: (
+        oracle.silently_cold_upstreams_get_no_more_once_they_show_it
+    ),
     ignore_zones: oracle.zones_out_of_service_get_no_new_work,
     ignore_leaving: oracle.leaving_upstreams_get_no_new_work,
     ignore_lease: oracle.configuration_is_spread_and_never_reverts,
+    accept_without_neighbours: oracle.configuration_is_spread_and_never_reverts,
+    trust_service_alone: oracle.configuration_is_spread_and_never_reverts,
     accept_older_tables: oracle.configuration_is_spread_and_never_reverts,
     call_lost_not_run: oracle.not_run_means_not_run,
     call_refused_answered: oracle.callers_get_one_outcome,
