End the process when a listener cannot open

Its log shows a port in use: the error was raised inside the loop, logged, and the node went on without a listener. The port was drawn twice: 17,000 ports drawn at random give 30 processes of a fleet a chance of 2.6% to share one.

Change: the node starts its parts before the loop runs, so a port in use ends the process with status 1 and a message. The stand-in scripts go through the ports in order and never return one twice; each process begins in another place.

Ruled out: trying another port in the gateway, since operators and the VM list name the port.

Conclusion: a node that runs has all its listeners.

--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 from returns.pipeline import is_successful
+from twisted.internet.error import CannotListenError
 
 from figdoor_gateway.application import build_node
 from figdoor_gateway.lifecycle import Lifecycle
@@ -25,6 +26,7 @@
     render_findings,
 )
 
+EXIT_START = 1
 EXIT_SETTINGS = 2
 _USAGE = 'figdoor runs one node of the load balancer.\n\nSettings:\n'
 
@@ -43,6 +45,9 @@
     except FigdoorError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_SETTINGS)
+    except CannotListenError as error:
+        sys.stderr.write(f'{error}\n')
+        sys.exit(EXIT_START)
 
 
 def run_node(settings: Settings) -> None:
@@ -54,8 +59,10 @@
     on_signal = partial(_stop, lifecycle)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
-    reactor.callWhenRunning(lifecycle.run)
-    reactor.callWhenRunning(settle_heap)
+    # Before the loop runs, so that a port in use ends the process. Inside the
+    # loop the error was logged, and a node without a listener went on.
+    lifecycle.run()
+    settle_heap()
     reactor.run(installSignalHandlers=False)
 
 
--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -6,7 +6,6 @@
 
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -16,22 +15,26 @@
 import urllib.error
 import urllib.request
 from contextlib import ExitStack
+from itertools import count
 from pathlib import Path
 
 HOST = '127.0.0.1'
 START_TIMEOUT_S = 20
-PORTS = (15_000, 32_000)
+PORTS = range(15_000, 32_000)
+# Processes that start fleets at the same time begin in different places.
+_PORTS_PER_PROCESS = 64
+_taken = count(_PORTS_PER_PROCESS * os.getpid())
 BIN = Path(sys.executable).parent
 
 
 def free_port():
-    """Return a port that nobody used a moment ago.
+    """Return a port that nobody listens on and that was not returned before.
 
-    It is outside the range that the system takes for outgoing connections,
-    since a caller's connection could take it before its process listens.
+    Ports that the system takes for outgoing connections are left out, since a
+    caller's connection could take one before its process listens.
     """
     while True:
-        port = random.randint(*PORTS)
+        port = PORTS[next(_taken) % len(PORTS)]
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
--- a/tests/processes/test_gateway_failures.py
+++ b/tests/processes/test_gateway_failures.py
@@ -8,7 +8,7 @@
 import pytest
 from process_times import SETTLE_S
 
-from figdoor_standins.processes import HOST, http, wait_until
+from figdoor_standins.processes import HOST, GatewayProcess, http, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -54,6 +54,25 @@
             assert len(list(tasks.iterdir())) == 1
 
 
+class TestStart:
+    @pytest.mark.parametrize(
+        'setting',
+        ['listen', 'operator_listen', 'peer_listen'],
+    )
+    def test_port_in_use_ends_the_process(self, site, setting):
+        """Guards against a node that goes on without one of its listeners."""
+        with socket.create_server((HOST, 0)) as taken:
+            gateway = GatewayProcess(
+                'x',
+                'z1',
+                site.deployment.platform.port,
+                site.folder / 'x.log',
+                **{setting: f'{HOST}:{taken.getsockname()[1]}'},
+            )
+            assert gateway.child.wait(20) == 1
+        assert 'listen on' in (site.folder / 'x.log').read_text()
+
+
 class TestStop:
     def test_sigterm_cuts_no_request_in_progress(self, site, extra_gateway):
         site.behave(service_ms=300)
