Leave dead connections out of ejection

Cause: the trace retry-budget-spent has two upstreams whose connections die in turn. Ejection counted these, so calls found no upstream and were refused. Change: only error answers count. A dead connection makes its upstream cold, and the allowance of cold starts bounds what it gets. Conclusion: a pool of two keeps its second upstream. In the whole run of the tests one more failed, TestGatewayEnds::test_kill_under_load_runs_nothing_twice, and again in two runs on its own, at a load average of 7 to 8: its callers were told nothing before the gateway was killed after 0.4 s. The test is unchanged.

--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
@@ -51,7 +51,8 @@
     is left once the others are at theirs. An ejection lasts 100 ms. Each
     failure after it ejects again for twice as long, up to a second, until an
     answer without failure. Sheds, timeouts and cancelled attempts say nothing
-    here.
+    here. Dead connections are left to cold starts, which bound what such an
+    upstream gets: with both, a pool of two had none left.
     """
 
     def __init__(self, node: Node) -> None:
@@ -74,7 +75,7 @@
         return Verdict.DENY
 
     def _on_ended(self, event: AttemptEnded) -> None:
-        if event.failed or event.connection_died:
+        if event.failed:
             found = self._failing.setdefault(event.upstream, _Failures())
             found.in_a_row += 1
             if found.in_a_row >= FAILURES_IN_A_ROW:
