Take a known mark of the VM list as an unchanged list

Cause: a platform that ignores If-None-Match on HEAD answers 200 with the mark that the node has; the node then waited for differences to the version it was using and read the whole list.

Change: VmLists compares the mark.

Ruled out: nothing else was tried. A platform whose HEAD and GET give different marks for the same list still costs a whole read for each check.

--- a/packages/figdoor-decisions/src/figdoor_decisions/listing/_history.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/listing/_history.py
@@ -4,7 +4,7 @@
 
 from figdoor_kernel import VmListDifference
 
-# Two parts of the largest difference from each of eight readers at once.
+# The 16 parts of the largest difference, from 16 readers with different bases.
 MAX_KEPT = 256
 
 Parts = tuple[VmListDifference, ...]
--- a/packages/figdoor-decisions/src/figdoor_decisions/listing/_lists.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/listing/_lists.py
@@ -102,6 +102,10 @@
 
     def take_mark(self, mark: str, now_ms: float) -> None:
         """Go to another version, now or when the differences are there."""
+        if mark == self.mark:
+            # A platform may ignore the condition of the request.
+            self.take_unchanged(now_ms)
+            return
         if not mark:
             self.stop_checking()
         self._wanted = mark
--- a/tests/decisions/test_listing.py
+++ b/tests/decisions/test_listing.py
@@ -219,6 +219,16 @@
         fleet.advance_ms(IN_TIME_MS)
         assert fleet.whole_reads['n1'] >= 2
 
+    def test_known_mark_is_an_unchanged_list(self):
+        """A platform may answer 200 where 304 would do."""
+        fleet = ListedFleet(20)
+        node = fleet.nodes['n1']
+        changed = Recorder(node, VmListChanged)
+        lists = fleet.lists('n1')
+        lists.take_mark(lists.mark, fleet.clock.now_ms())
+        (event,) = changed.events
+        assert event.vm_list is node.fleet.vm_list
+
     def test_difference_that_does_not_fit_changes_nothing(self):
         """A peer's wrong rows must end in a whole read, not in a list."""
         fleet = ListedFleet(20)
--- a/tests/gateway/peers/test_codec.py
+++ b/tests/gateway/peers/test_codec.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from support import node_vm, upstream_vm
 
+from figdoor_decisions.listing._differences import ROWS_PER_PART
 from figdoor_gateway.peers import MalformedMessage, decode, encode
 from figdoor_gateway.peers._codec import MAX_DATAGRAM_BYTES
 from figdoor_gateway.peers._frames import (
@@ -19,7 +20,16 @@
     encode_answer,
     encode_request,
 )
-from figdoor_kernel import Heartbeat, News, PeerMessage, Vm, VmId, VmState
+from figdoor_kernel import (
+    Flooded,
+    Heartbeat,
+    News,
+    PeerMessage,
+    Vm,
+    VmId,
+    VmListDifference,
+    VmState,
+)
 from figdoor_tables import Change
 
 names = st.text(max_size=40)
@@ -81,6 +91,16 @@
         heartbeat = Heartbeat(123456.5, 17_000)
         assert len(encode('entry-123', heartbeat)) <= 40
 
+    def test_part_of_eight_rows_fits_into_a_datagram(self):
+        """Longer ones are dropped, and every node reads the whole list."""
+        rows = tuple(
+            upstream_vm(f'work-orders-{number:05}-7f3a', 'deep-south-2b')
+            for number in range(ROWS_PER_PART)
+        )
+        news = VmListDifference(2**64 - 1, 2**64 - 2, 2**64 - 3, (), rows)
+        datagram = encode('entry-123', Flooded('entry-123', 2**64 - 4, news))
+        assert len(datagram) <= MAX_DATAGRAM_BYTES
+
     @given(st.binary(max_size=MAX_DATAGRAM_BYTES + 100))
     def test_rubbish_is_malformed(self, datagram):
         self.expect_message_or_malformed(datagram)
