Wait until upstreams that died can be counted

Cause: TestPoison counted the ended upstreams as soon as both callers had been told. Change: the test waits until the stated number has ended, then goes on as before. Ruled out: leaving out the comparison, which shows that no further one ends. Conclusion: the failure was the test's and not the gateway's.

--- a/tests/processes/test_upstream_failures.py
+++ b/tests/processes/test_upstream_failures.py
@@ -87,6 +87,8 @@
         time.sleep(SETTLE_S)
         told = [self.send(gateway) for gateway in site.gateways]
         assert told == ['unknown'] * self.DEATHS
+        # A process closes its connections before it can be waited for.
+        wait_until(lambda: len(site.ended()) == self.DEATHS, what='ended')
         ended = site.ended()
         site.deployment.list_vms(without=ended)
         until_s = time.monotonic() + self.WATCHED_S
