Leave upstreams alone that refuse connections

Cause: a dead upstream stays in the VM list for seconds. Others took it for cold, but its home node went on trying it with each call. Each refused connection spent a retry, and beyond the retry budget calls were told not-run although other upstreams were idle.

Change: a second rule in the outliers plug-in denies an upstream for 100 ms after a refused connection, twice as long with each further one, up to 1 s.

Ruled out: a larger retry budget, which only moves the limit; the share of the pool that ejections keep to, since what refuses connections can bear nothing.

Conclusion: a dead upstream costs a few retries until the list drops it. A restarted one is found up to 1 s later.

--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -21,6 +21,7 @@
 FAILED = AttemptResult(AttemptState.ANSWERED, failed=True)
 DIED = AttemptResult(AttemptState.LOST, connection_died=True)
 ANSWERED = AttemptResult(AttemptState.ANSWERED)
+REFUSED = AttemptResult(AttemptState.UNSENT_FAILURE, connection_died=True)
 
 
 class TestOutlierEjection:
@@ -109,3 +110,76 @@
         for index in range(upstreams):
             self.see(f'w{index}', FAILED, FAILED)
         assert len(self.ejected()) == most
+
+
+class TestRefusedConnections:
+    """A dead upstream is tried now and then, not with each call."""
+
+    def setup_method(self):
+        self.node = make_node()
+        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2'))
+        give_tables(self.node)
+        self.dispatcher = Dispatcher(self.node)
+        self.dispatcher.chooser = self
+        self.rule = self.node.part(
+            Extension.CANDIDATE_RULE,
+            'refused-connections',
+        )
+
+    def choose(self, *_):
+        return self.node.fleet.find('w1')
+
+    def attempt(self, *results):
+        """Begin an attempt for each result, then end them."""
+        confirm(self.node)
+        now_ms = self.node.clock.now_ms()
+        begun = [
+            self.dispatcher.open(make_call(), now_ms, lambda: None)
+            for _ in results
+        ]
+        for exchange, ended in zip(begun, results, strict=True):
+            exchange.next_step(now_ms)
+            if ended.state is not AttemptState.UNSENT_FAILURE:
+                exchange.confirm_send(now_ms)
+                exchange.begin_answer()
+        for exchange, ended in zip(begun, results, strict=True):
+            exchange.end(ended, now_ms)
+        self.routed = begun[0].routed
+
+    def waits_ms(self):
+        """Let time pass until the upstream is allowed; return how long."""
+        waited_ms = 0
+        while (
+            self.rule.judge(
+                self.choose(),
+                self.routed,
+                self.node.clock.now_ms(),
+            )
+            is not Verdict.ALLOW
+        ):
+            self.node.clock.advance_ms(50)
+            waited_ms += 50
+        return waited_ms
+
+    def test_backoff_doubles_up_to_a_second(self):
+        waited_ms = []
+        for _ in range(6):
+            self.attempt(REFUSED)
+            waited_ms.append(self.waits_ms())
+        # The clock goes in steps of 50 ms.
+        expected_ms = [100, 200, 400, 800, 1000, 1000]
+        assert waited_ms == pytest.approx(expected_ms, abs=50)
+
+    def test_attempts_refused_together_count_once(self):
+        self.attempt(REFUSED, REFUSED, REFUSED)
+        assert self.waits_ms() == 100
+
+    def test_answer_ends_the_backoff(self):
+        self.attempt(REFUSED)
+        self.waits_ms()
+        self.attempt(REFUSED, ANSWERED)
+        assert not self.waits_ms()
+
+    def test_attempt_that_was_not_sent_for_other_reasons_is_ignored(self):
+        self.attempt(AttemptResult(AttemptState.UNSENT_FAILURE))
+        assert not self.waits_ms()
--- a/tests/processes/test_upstream_failures.py
+++ b/tests/processes/test_upstream_failures.py
@@ -19,6 +19,16 @@
         counts = site.judge(caller)
         assert counts['answered'] > counts.total() / 2
 
+    def test_dead_upstream_that_is_still_listed_costs_no_answer(
+        self,
+        site,
+        extra_upstream,
+    ):
+        """Guards against retries that are all spent on refused connections."""
+        extra_upstream.kill()
+        counts = site.judge(site.start(rate=400, requests=800))
+        assert counts['answered'] == counts.total()
+
     def test_stopped_upstream_answers_nobody_when_it_wakes(
         self,
         site,
