Take callers that go away for no failure of the upstream

Cause: an attempt whose caller went away counted as a failure of its upstream, and two failures within 1 s turn it cold on all nodes. At some hundred calls a second two impatient callers are enough to take a warm upstream's load away.

Ruled out: ignoring such attempts altogether. An upstream that hangs and whose callers leave before the deadline would then never show.

--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_record.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_record.py
@@ -32,10 +32,15 @@
     borne: int = 0
     slow_in_a_row: int = 0
 
+    def is_slow(self, latency_ms: float) -> bool:
+        """Return whether this is far above the usual latency, if known."""
+        if self.samples < MIN_SAMPLES:
+            return False
+        return latency_ms > SLOW_FACTOR * self.usual_ms
+
     def add(self, latency_ms: float, in_flight: int) -> bool:
         """Add an answer; return whether the upstream has turned slow."""
-        known = self.samples >= MIN_SAMPLES
-        if known and latency_ms > SLOW_FACTOR * self.usual_ms:
+        if self.is_slow(latency_ms):
             if in_flight <= self.borne:
                 self.slow_in_a_row += 1
             return self.slow_in_a_row >= SLOW_IN_A_ROW
--- a/packages/figdoor-decisions/src/figdoor_decisions/warmth/_watch.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/warmth/_watch.py
@@ -65,6 +65,11 @@
         elif event.state is AttemptState.ANSWERED:
             self._on_answered(found, event)
         elif event.state is AttemptState.LOST:
+            self._on_lost(found, event)
+
+    def _on_lost(self, found: WarmthRecord, event: AttemptEnded) -> None:
+        # Callers that go away turned upstreams cold that work well.
+        if not event.given_up or found.latency.is_slow(event.latency_ms):
             self._fail(found, event.now_ms)
 
     def _on_answered(self, found: WarmthRecord, event: AttemptEnded) -> None:
--- a/packages/figdoor-kernel/src/figdoor_kernel/_calls.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_calls.py
@@ -15,7 +15,7 @@
 class Call:
     """One request of a caller.
 
-    ``deadline_ms`` is the time left that the caller gave, in milliseconds, or
+    ``time_left_ms`` is the time that the caller gave, in milliseconds, or
     ``None``. ``attributes`` are named texts of the request (for HTTP the
     headers, names in lower case). ``replayable`` says that the whole body is
     held, so that a further attempt can be made.
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -21,6 +21,9 @@
 from figdoor_kernel._tables import Tables
 from figdoor_kernel._vms import VmList
 
+# A timer of the loop can fire this much before its time.
+_TIMER_ERROR_MS = 1.0
+
 
 @dataclass(frozen=True, slots=True)
 class CallOpened:
@@ -93,6 +96,17 @@
     answer_begun: bool = False
     final: bool = False
 
+    @property
+    def given_up(self) -> bool:
+        """Whether the caller went away before its time was up.
+
+        This says nothing of the upstream, unlike an attempt that timed out.
+        """
+        if self.state is not AttemptState.LOST or self.connection_died:
+            return False
+        left_ms = self.routed.deadline_ms - self.now_ms
+        return self.final and left_ms > _TIMER_ERROR_MS
+
 
 @dataclass(frozen=True, slots=True)
 class ReportSeen:
