Find the command of a section where another name follows it

Cause: the pattern took a closing backtick into the path of a script where another backtick followed in the line, and the test failed on a section of docs/MEASUREMENTS.md that names its command.

Conclusion: the check is the same.

--- a/tests/bench/test_scripts.py
+++ b/tests/bench/test_scripts.py
@@ -62,7 +62,9 @@
     def test_each_section_of_measurements_names_one_command(self):
         text = (ROOT / 'docs' / 'MEASUREMENTS.md').read_text(encoding='utf-8')
         for section in text.split('\n## ')[1:]:
-            commands = re.findall(r'`\.venv/bin/python (\S+)(.*?)`', section)
+            commands = re.findall(
+                r'`\.venv/bin/python ([^\s`]+)([^`]*)`', section
+            )
             assert len({path for path, _ in commands}) == 1, section[:80]
             source = (ROOT / commands[0][0]).read_text(encoding='utf-8')
             for flag in re.findall(r'--([\w-]+)', commands[0][1]):
