Share the back-off of both outlier rules, and the clock set by hand

Cause: ejection and refused connections each had the same doubling time, their tests the same set-up, and benches took the clock set by hand from the tests.

Change: Backoff holds the time; both test classes stand on one subject; ManualClock stands with the stand-ins.

No check was dropped; the back-off tests are exact now instead of within 50 ms.

Conclusion: one rule in one place.

--- a/bench/vm_list.py
+++ b/bench/vm_list.py
@@ -29,7 +29,7 @@
 sys.path.insert(0, str(Path(__file__).parents[1] / 'tests'))
 
 from sizes import pick
-from support import ManualClock, node_vm, upstream_vm
+from support import node_vm, upstream_vm
 
 from figdoor_decisions.listing import VmListRead
 from figdoor_decisions.listing._differences import (
@@ -54,6 +54,7 @@
     VmState,
     load_plugins,
 )
+from figdoor_standins.clock import ManualClock
 
 SIZES = pick(
     ((30, 20), (1000, 100), (3350, 320), (6700, 640)),
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/_joining.py
@@ -20,8 +20,9 @@
     A neighbour that acknowledges with revision 0 has not joined itself. One
     that has joined knows the newest revision, so more than half of the
     neighbours are enough if one of them has joined: the node itself may be
-    one of those that held the newest one and has lost it. Where all neighbours answer and none
-    has joined, the whole fleet has started together and need not wait.
+    one of those that held the newest one and has lost it. Where all
+    neighbours answer and none has joined, the whole fleet has started
+    together and need not wait.
 
     Later tables wait until at least half of the neighbours hold them. A
     small part of the fleet that is cut off thus puts nothing in force that
--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
@@ -1,7 +1,8 @@
 """Ejects upstreams that fail again and again, for a while."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from figdoor_decisions.outliers._backoff import Backoff
 from figdoor_kernel import (
     AttemptEnded,
     AttemptState,
@@ -17,8 +18,6 @@
 
 # One failure is often the request's own fault.
 FAILURES_IN_A_ROW = 2
-FIRST_EJECTION_MS = 100.0
-MAX_EJECTION_MS = 1000.0
 # One in this many upstreams in service. Failures of more than that come
 # from the requests or from all upstreams, and ejecting helps neither.
 POOL_DIVISOR = 5
@@ -40,8 +39,7 @@
     """Failures in a row at one upstream and the ejection they led to."""
 
     in_a_row: int = 0
-    ejection_ms: float = 0
-    until_ms: float = float('-inf')
+    ejection: Backoff = field(default_factory=Backoff)
 
 
 class OutlierEjection(CandidateRule):
@@ -70,7 +68,7 @@
     ) -> Verdict:
         """Deny while ejected."""
         found = self._failing.get(upstream.upstream_id)
-        if found is None or now_ms >= found.until_ms:
+        if found is None or found.ejection.is_over(now_ms):
             return Verdict.ALLOW
         return Verdict.DENY
 
@@ -85,7 +83,7 @@
 
     def _eject(self, found: _Failures, event: AttemptEnded) -> None:
         # Attempts that were under way at the ejection do not lengthen it.
-        if event.now_ms < found.until_ms:
+        if not found.ejection.is_over(event.now_ms):
             return
         pool = event.routed.pool
         peers = [
@@ -96,15 +94,11 @@
         ]
         ejected = sum(self._is_ejected(peer, event.now_ms) for peer in peers)
         if ejected < ejectable(len(peers)):
-            found.ejection_ms = min(
-                MAX_EJECTION_MS,
-                max(FIRST_EJECTION_MS, 2 * found.ejection_ms),
-            )
-            found.until_ms = event.now_ms + found.ejection_ms
+            found.ejection.extend(event.now_ms)
 
     def _is_ejected(self, upstream_id: UpstreamId, now_ms: float) -> bool:
         found = self._failing.get(upstream_id)
-        return found is not None and now_ms < found.until_ms
+        return found is not None and not found.ejection.is_over(now_ms)
 
     def _on_vm_list(self, event: VmListChanged) -> None:
         listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/_refused.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/_refused.py
@@ -1,7 +1,6 @@
 """Leaves upstreams alone that take no connections."""
 
-from dataclasses import dataclass
-
+from figdoor_decisions.outliers._backoff import Backoff
 from figdoor_kernel import (
     AttemptEnded,
     AttemptState,
@@ -14,17 +13,6 @@
     VmListChanged,
 )
 
-FIRST_BACKOFF_MS = 100.0
-MAX_BACKOFF_MS = 1000.0
-
-
-@dataclass(slots=True)
-class _Backoff:
-    """How long an upstream is left alone."""
-
-    length_ms: float
-    until_ms: float
-
 
 class RefusedConnections(CandidateRule):
     """Denies upstreams that refused a connection, for a while.
@@ -38,7 +26,7 @@
 
     def __init__(self, node: Node) -> None:
         """Follow own attempts and the VM list."""
-        self._backoffs: dict[UpstreamId, _Backoff] = {}
+        self._backoffs: dict[UpstreamId, Backoff] = {}
         node.events.subscribe(AttemptEnded, self._on_ended)
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
@@ -50,7 +38,7 @@
     ) -> Verdict:
         """Deny while the upstream is left alone."""
         found = self._backoffs.get(upstream.upstream_id)
-        if found is None or now_ms >= found.until_ms:
+        if found is None or found.is_over(now_ms):
             return Verdict.ALLOW
         return Verdict.DENY
 
@@ -58,17 +46,10 @@
         if event.state is not AttemptState.UNSENT_FAILURE:
             self._backoffs.pop(event.upstream, None)
         elif event.connection_died:
-            self._extend(event.upstream, event.now_ms)
-
-    def _extend(self, upstream_id: UpstreamId, now_ms: float) -> None:
-        found = self._backoffs.get(upstream_id)
-        if found is None:
-            first = _Backoff(FIRST_BACKOFF_MS, now_ms + FIRST_BACKOFF_MS)
-            self._backoffs[upstream_id] = first
-        elif now_ms >= found.until_ms:
+            found = self._backoffs.setdefault(event.upstream, Backoff())
             # Attempts that were refused together count once.
-            found.length_ms = min(MAX_BACKOFF_MS, 2 * found.length_ms)
-            found.until_ms = now_ms + found.length_ms
+            if found.is_over(event.now_ms):
+                found.extend(event.now_ms)
 
     def _on_vm_list(self, event: VmListChanged) -> None:
         listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -1,4 +1,4 @@
-"""Ejection of upstreams that fail fast."""
+"""Upstreams that fail fast or refuse connections are left alone."""
 
 import pytest
 from support import (
@@ -24,7 +24,9 @@
 REFUSED = AttemptResult(AttemptState.UNSENT_FAILURE, connection_died=True)
 
 
-class TestOutlierEjection:
+class RuleSubject:
+    """Ends attempts at upstreams and asks one rule what it thinks."""
+
     def setup_method(self):
         self.start(10)
 
@@ -34,10 +36,7 @@
         give_vms(self.node, *(upstream_vm(name) for name in names))
         give_tables(self.node)
         self.dispatcher = Dispatcher(self.node)
-        self.rule = self.node.part(
-            Extension.CANDIDATE_RULE,
-            'outlier-ejection',
-        )
+        self.rule = self.node.part(Extension.CANDIDATE_RULE, self.rule_name)
 
     def see(self, name, *results):
         """End one attempt at the named upstream for each result."""
@@ -49,13 +48,14 @@
             self.choose = lambda *_: upstream
             exchange = self.dispatcher.open(make_call(), now_ms, lambda: None)
             exchange.next_step(now_ms)
-            assert exchange.confirm_send(now_ms)
+            if seen.state is not AttemptState.UNSENT_FAILURE:
+                assert exchange.confirm_send(now_ms)
             if seen.state is AttemptState.ANSWERED:
                 exchange.begin_answer()
             exchange.end(seen, now_ms)
         self.routed = exchange.routed
 
-    def ejected(self):
+    def denied(self):
         now_ms = self.node.clock.now_ms()
         return {
             upstream.upstream_id
@@ -63,12 +63,24 @@
             if self.rule.judge(upstream, self.routed, now_ms) is Verdict.DENY
         }
 
+    def lasts_ms(self):
+        """Let time pass until none is denied; return how long it took."""
+        lasted_ms = 0
+        while self.denied():
+            self.node.clock.advance_ms(100)
+            lasted_ms += 100
+        return lasted_ms
+
+
+class TestOutlierEjection(RuleSubject):
+    rule_name = 'outlier-ejection'
+
     def test_upstream_that_fails_twice_in_a_row_is_ejected(self):
         # The failure: it alone was below its caps and got most calls.
         self.see('w1', FAILED)
-        assert not self.ejected()
+        assert not self.denied()
         self.see('w1', FAILED)
-        assert self.ejected() == {'w1'}
+        assert self.denied() == {'w1'}
 
     @pytest.mark.parametrize(
         'seen',
@@ -82,23 +94,20 @@
     def test_other_ends_eject_nothing(self, seen):
         # The failure: a shed, or a caller that left, counted as a failure.
         self.see('w1', seen, seen, seen)
-        assert not self.ejected()
+        assert not self.denied()
 
     def test_answer_in_between_ejects_nothing(self):
         # The failure: one caller's faulty requests ejected every upstream.
         self.see('w1', FAILED, ANSWERED, FAILED, ANSWERED)
-        assert not self.ejected()
+        assert not self.denied()
 
     def test_time_out_of_use_doubles_and_is_bounded(self):
         self.see('w1', FAILED)
-        lasted = []
+        lasted_ms = []
         for _ in range(6):
             self.see('w1', FAILED)
-            lasted.append(0)
-            while self.ejected():
-                self.node.clock.advance_ms(100)
-                lasted[-1] += 100
-        assert lasted == [100, 200, 400, 800, 1000, 1000]
+            lasted_ms.append(self.lasts_ms())
+        assert lasted_ms == [100, 200, 400, 800, 1000, 1000]
 
     @pytest.mark.parametrize(
         ('upstreams', 'most'),
@@ -109,77 +118,32 @@
         self.start(upstreams)
         for index in range(upstreams):
             self.see(f'w{index}', FAILED, FAILED)
-        assert len(self.ejected()) == most
+        assert len(self.denied()) == most
 
 
-class TestRefusedConnections:
+class TestRefusedConnections(RuleSubject):
     """A dead upstream is tried now and then, not with each call."""
 
-    def setup_method(self):
-        self.node = make_node()
-        give_vms(self.node, upstream_vm('w1'), upstream_vm('w2'))
-        give_tables(self.node)
-        self.dispatcher = Dispatcher(self.node)
-        self.dispatcher.chooser = self
-        self.rule = self.node.part(
-            Extension.CANDIDATE_RULE,
-            'refused-connections',
-        )
-
-    def choose(self, *_):
-        return self.node.fleet.find('w1')
-
-    def attempt(self, *results):
-        """Begin an attempt for each result, then end them."""
-        confirm(self.node)
-        now_ms = self.node.clock.now_ms()
-        begun = [
-            self.dispatcher.open(make_call(), now_ms, lambda: None)
-            for _ in results
-        ]
-        for exchange, ended in zip(begun, results, strict=True):
-            exchange.next_step(now_ms)
-            if ended.state is not AttemptState.UNSENT_FAILURE:
-                exchange.confirm_send(now_ms)
-                exchange.begin_answer()
-        for exchange, ended in zip(begun, results, strict=True):
-            exchange.end(ended, now_ms)
-        self.routed = begun[0].routed
-
-    def waits_ms(self):
-        """Let time pass until the upstream is allowed; return how long."""
-        waited_ms = 0
-        while (
-            self.rule.judge(
-                self.choose(),
-                self.routed,
-                self.node.clock.now_ms(),
-            )
-            is not Verdict.ALLOW
-        ):
-            self.node.clock.advance_ms(50)
-            waited_ms += 50
-        return waited_ms
+    rule_name = 'refused-connections'
 
     def test_backoff_doubles_up_to_a_second(self):
-        waited_ms = []
+        lasted_ms = []
         for _ in range(6):
-            self.attempt(REFUSED)
-            waited_ms.append(self.waits_ms())
-        # The clock goes in steps of 50 ms.
-        expected_ms = [100, 200, 400, 800, 1000, 1000]
-        assert waited_ms == pytest.approx(expected_ms, abs=50)
+            self.see('w1', REFUSED)
+            assert self.denied() == {'w1'}
+            lasted_ms.append(self.lasts_ms())
+        assert lasted_ms == [100, 200, 400, 800, 1000, 1000]
 
     def test_attempts_refused_together_count_once(self):
-        self.attempt(REFUSED, REFUSED, REFUSED)
-        assert self.waits_ms() == 100
+        self.see('w1', REFUSED, REFUSED, REFUSED)
+        assert self.lasts_ms() == 100
 
     def test_answer_ends_the_backoff(self):
-        self.attempt(REFUSED)
-        self.waits_ms()
-        self.attempt(REFUSED, ANSWERED)
-        assert not self.waits_ms()
+        self.see('w1', REFUSED)
+        self.lasts_ms()
+        self.see('w1', ANSWERED, REFUSED)
+        assert self.lasts_ms() == 100
 
     def test_attempt_that_was_not_sent_for_other_reasons_is_ignored(self):
-        self.attempt(AttemptResult(AttemptState.UNSENT_FAILURE))
-        assert not self.waits_ms()
+        self.see('w1', AttemptResult(AttemptState.UNSENT_FAILURE))
+        assert not self.denied()
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,7 +4,6 @@
 from random import Random
 
 from returns.pipeline import is_successful
-from twisted.internet.task import Clock as TwistedClock
 
 from figdoor_kernel import (
     AvailabilityZoneName,
@@ -27,6 +26,7 @@
     VmState,
     load_plugins,
 )
+from figdoor_standins.clock import ManualClock
 from figdoor_tables import read_tables
 
 ROUTES = """
@@ -56,32 +56,6 @@
 """
 
 
-class ManualClock:
-    """A node's clock that stands on Twisted's ``Clock``."""
-
-    def __init__(self, reactor=None):
-        self.reactor = reactor or TwistedClock()
-
-    def now_ms(self):
-        return self.reactor.seconds() * 1000
-
-    def advance_ms(self, delay_ms):
-        """Let time pass from one due call to the next.
-
-        In a single step a call due early would see the time of the end.
-        """
-        end_s = self.reactor.seconds() + delay_ms / 1000
-        while True:
-            calls = self.reactor.getDelayedCalls()
-            next_s = min((call.getTime() for call in calls), default=end_s)
-            if next_s >= end_s:
-                break
-            self.reactor.rightNow = next_s
-            self.reactor.advance(0)
-        self.reactor.rightNow = end_s
-        self.reactor.advance(0)
-
-
 # Reading the metadata of all distributions takes most of the time that a
 # node needs to be built.
 installed_plugins = cache(load_plugins)
