Call one piece of code for what several parts did each

Cause: a last read of the whole change. Five parts each built the set of all listed VMs to drop what they keep for upstreams that left; the revision in force was worked out in five places; both outlier rules had the same back-off around the shared time; these rules and the loop over candidates looked verdicts up on their class, which the other rules avoid since it takes ten times as long; the result of refuse_new_connections was not used.

Change: Fleet.drop_unlisted, Node.revision and Backoffs take over. Verdicts are compared with the module's constants.

Ruled out: a base class for the two outlier rules; what varies is when they extend the back-off, and a held collaborator says this more plainly. The choosers share signatures only.

Conclusion: behaviour is unchanged, no test was touched.

--- a/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/choosers/_estimates.py
@@ -142,6 +142,4 @@
         estimate.others_at_ms = event.now_ms
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
-        for gone in self._known.keys() - listed:
-            self._known.pop(gone)
+        self._fleet.drop_unlisted(self._known)
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_acceptance.py
@@ -64,14 +64,12 @@
     @property
     def revision(self) -> Revision:
         """The revision in force, 0 before the first."""
-        tables = self._node.tables
-        return tables.revision if tables else Revision(0)
+        return self._node.revision
 
     @property
     def known_revision(self) -> Revision:
         """The newest revision that was in force, held back or refused."""
-        held = self._held.revision if self._held else Revision(0)
-        return max(self.revision, held, self.refused_revision)
+        return max(self._read_revision, self.refused_revision)
 
     def waits_for(self, now_ms: float) -> str | None:
         """Return why no tables are in force, or ``None`` where some are."""
@@ -81,9 +79,13 @@
             return 'tables'
         return self._start_rule.missing(self._held.revision, now_ms)
 
-    def _on_offered(self, event: TablesOffered) -> None:
+    @property
+    def _read_revision(self) -> Revision:
         held = self._held.revision if self._held else Revision(0)
-        known = max(self.revision, held)
+        return max(self.revision, held)
+
+    def _on_offered(self, event: TablesOffered) -> None:
+        known = self._read_revision
         if event.revision <= known or event.revision == self.refused_revision:
             return
         match self._reader.read(
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -32,8 +32,7 @@
     @property
     def known_revision(self) -> Revision:
         """The newest revision that the node has read without findings."""
-        tables = self._node.tables
-        return max(self._held, tables.revision if tables else Revision(0))
+        return max(self._held, self._node.revision)
 
     def confirm(self, at_ms: float) -> None:
         """Note that the tables were confirmed as of ``at_ms``."""
@@ -63,9 +62,8 @@
         self._held = event.tables.revision
 
     def _is_superseded(self, at_ms: float) -> bool:
-        tables = self._node.tables
-        own = tables.revision if tables else Revision(0)
-        if tables and self._held > own:
+        own = self._node.revision
+        if own and self._held > own:
             return True
         return self._newer > own and not self._is_void(at_ms)
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_caps.py
@@ -158,8 +158,6 @@
             limit.others_at_ms = event.now_ms
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
-        for gone in self._limits.keys() - listed:
-            self._limits.pop(gone)
+        self._fleet.drop_unlisted(self._limits)
         for limit in self._limits.values():
             limit.is_stale = True
--- a/packages/figdoor-decisions/src/figdoor_decisions/measuring/_worth.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/measuring/_worth.py
@@ -23,6 +23,7 @@
 
     def __init__(self, node: Node) -> None:
         """Follow the states of upstreams."""
+        self._fleet = node.fleet
         self._states: dict[UpstreamId, UpstreamState] = {}
         node.events.subscribe(UpstreamStateChanged, self._on_state)
         node.events.subscribe(VmListChanged, self._on_vm_list)
@@ -45,6 +46,4 @@
         self._states[event.upstream] = event.state
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
-        for gone in self._states.keys() - listed:
-            self._states.pop(gone)
+        self._fleet.drop_unlisted(self._states)
--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/_ejection.py
@@ -1,9 +1,10 @@
 """Ejects upstreams that fail again and again, for a while."""
 
-from dataclasses import dataclass, field
+from collections import Counter
 
-from figdoor_decisions.outliers._backoff import Backoff
+from figdoor_decisions.outliers._backoff import Backoffs
 from figdoor_kernel import (
+    ALLOW,
     AttemptEnded,
     AttemptState,
     CandidateRule,
@@ -34,14 +35,6 @@
     return min(upstreams - 1, max(1, upstreams // POOL_DIVISOR))
 
 
-@dataclass(slots=True)
-class _Failures:
-    """Failures in a row at one upstream and the ejection they led to."""
-
-    in_a_row: int = 0
-    ejection: Backoff = field(default_factory=Backoff)
-
-
 class OutlierEjection(CandidateRule):
     """Denies upstreams whose last own attempts all failed.
 
@@ -56,7 +49,8 @@
     def __init__(self, node: Node) -> None:
         """Follow own attempts and the VM list."""
         self._fleet = node.fleet
-        self._failing: dict[UpstreamId, _Failures] = {}
+        self._ejections = Backoffs(node)
+        self._in_a_row: Counter[UpstreamId] = Counter()
         node.events.subscribe(AttemptEnded, self._on_ended)
         node.events.subscribe(VmListChanged, self._on_vm_list)
 
@@ -67,24 +61,18 @@
         now_ms: float,
     ) -> Verdict:
         """Deny while ejected."""
-        found = self._failing.get(upstream.upstream_id)
-        if found is None or found.ejection.is_over(now_ms):
-            return Verdict.ALLOW
-        return Verdict.DENY
+        return self._ejections.judge(upstream.upstream_id, now_ms)
 
     def _on_ended(self, event: AttemptEnded) -> None:
         if event.failed:
-            found = self._failing.setdefault(event.upstream, _Failures())
-            found.in_a_row += 1
-            if found.in_a_row >= FAILURES_IN_A_ROW:
-                self._eject(found, event)
+            self._in_a_row[event.upstream] += 1
+            if self._in_a_row[event.upstream] >= FAILURES_IN_A_ROW:
+                self._eject(event)
         elif event.state is AttemptState.ANSWERED:
-            self._failing.pop(event.upstream, None)
+            self._in_a_row.pop(event.upstream, None)
+            self._ejections.forget(event.upstream)
 
-    def _eject(self, found: _Failures, event: AttemptEnded) -> None:
-        # Attempts that were under way at the ejection do not lengthen it.
-        if not found.ejection.is_over(event.now_ms):
-            return
+    def _eject(self, event: AttemptEnded) -> None:
         pool = event.routed.pool
         peers = [
             peer.upstream_id
@@ -92,15 +80,12 @@
             if peer.vm_state is VmState.LIVE
             and peer.availability_zone in pool.availability_zones
         ]
-        ejected = sum(self._is_ejected(peer, event.now_ms) for peer in peers)
+        ejected = sum(
+            self._ejections.judge(peer, event.now_ms) is not ALLOW
+            for peer in peers
+        )
         if ejected < ejectable(len(peers)):
-            found.ejection.extend(event.now_ms)
-
-    def _is_ejected(self, upstream_id: UpstreamId, now_ms: float) -> bool:
-        found = self._failing.get(upstream_id)
-        return found is not None and not found.ejection.is_over(now_ms)
+            self._ejections.extend(event.upstream, event.now_ms)
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
-        for gone in self._failing.keys() - listed:
-            self._failing.pop(gone)
+        self._fleet.drop_unlisted(self._in_a_row)
--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/_refused.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/_refused.py
@@ -1,6 +1,6 @@
 """Leaves upstreams alone that take no connections."""
 
-from figdoor_decisions.outliers._backoff import Backoff
+from figdoor_decisions.outliers._backoff import Backoffs
 from figdoor_kernel import (
     AttemptEnded,
     AttemptState,
@@ -8,9 +8,7 @@
     Node,
     RoutedCall,
     Upstream,
-    UpstreamId,
     Verdict,
-    VmListChanged,
 )
 
 
@@ -25,10 +23,9 @@
     """
 
     def __init__(self, node: Node) -> None:
-        """Follow own attempts and the VM list."""
-        self._backoffs: dict[UpstreamId, Backoff] = {}
+        """Follow own attempts."""
+        self._backoffs = Backoffs(node)
         node.events.subscribe(AttemptEnded, self._on_ended)
-        node.events.subscribe(VmListChanged, self._on_vm_list)
 
     def judge(
         self,
@@ -37,21 +34,10 @@
         now_ms: float,
     ) -> Verdict:
         """Deny while the upstream is left alone."""
-        found = self._backoffs.get(upstream.upstream_id)
-        if found is None or found.is_over(now_ms):
-            return Verdict.ALLOW
-        return Verdict.DENY
+        return self._backoffs.judge(upstream.upstream_id, now_ms)
 
     def _on_ended(self, event: AttemptEnded) -> None:
         if event.state is not AttemptState.UNSENT_FAILURE:
-            self._backoffs.pop(event.upstream, None)
+            self._backoffs.forget(event.upstream)
         elif event.connection_died:
-            found = self._backoffs.setdefault(event.upstream, Backoff())
-            # Attempts that were refused together count once.
-            if found.is_over(event.now_ms):
-                found.extend(event.now_ms)
-
-    def _on_vm_list(self, event: VmListChanged) -> None:
-        listed = {UpstreamId(vm.vm_id) for vm in event.vm_list.vms}
-        for gone in self._backoffs.keys() - listed:
-            self._backoffs.pop(gone)
+            self._backoffs.extend(event.upstream, event.now_ms)
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
@@ -51,7 +51,7 @@
     def read(self) -> None:
         """Set all gauges to what holds now."""
         node = self._node
-        revision = node.tables.revision if node.tables else 0
+        revision = node.revision
         refused = self._service('acceptance').refused_revision
         self._revision.set(revision)
         self._refused.set(refused if refused > revision else 0)
--- a/packages/figdoor-gateway/src/figdoor_gateway/sockets.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/sockets.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import struct
+from contextlib import suppress
 from typing import Any
 
 from twisted.internet.abstract import FileDescriptor
@@ -21,8 +22,8 @@
 )
 
 
-def refuse_new_connections(listener: socket.socket) -> bool:
-    """Let no new connection begin; tell whether the system can do this.
+def refuse_new_connections(listener: socket.socket) -> None:
+    """Let no new connection begin, on systems that can do this.
 
     Closing a listener resets connections that were made and not accepted,
     with the requests on them. Where no new ones can begin, it is enough to
@@ -32,11 +33,8 @@
     program = b''.join(struct.pack('HBBI', *step) for step in _DROP_SYN)
     held = ctypes.create_string_buffer(program)
     described = struct.pack('HP', len(_DROP_SYN), ctypes.addressof(held))
-    try:
+    with suppress(OSError):
         listener.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, described)
-    except OSError:
-        return False
-    return True
 
 
 def is_readable(transport: Any) -> bool:
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -25,10 +25,11 @@
 )
 from figdoor_kernel._fleet import Upstream
 from figdoor_kernel._states import (
+    ALLOW,
+    ASK,
     AttemptState,
     Outcome,
     Refusal,
-    Verdict,
 )
 from figdoor_kernel._steps import AttemptResult, Finish, Send, Step, Wait
 
@@ -192,9 +193,9 @@
             if upstream.upstream_id in self._tried:
                 continue
             verdict = dispatcher.judge(upstream, routed, now_ms)
-            if verdict is Verdict.ALLOW:
+            if verdict is ALLOW:
                 allowed.append(upstream)
-            elif verdict is Verdict.ASK:
+            elif verdict is ASK:
                 askable.append(upstream)
         if allowed:
             chosen = dispatcher.chooser.choose(allowed, routed, now_ms)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from figdoor_kernel._calls import LoadReport
 from figdoor_kernel._event_bus import EventBus
@@ -64,6 +65,11 @@
         """Return all listed upstreams."""
         return tuple(self._by_id.values())
 
+    def drop_unlisted(self, records: dict[UpstreamId, Any]) -> None:
+        """Remove what is kept for upstreams that left the VM list."""
+        for gone in records.keys() - self._by_id.keys():
+            records.pop(gone)
+
     def nodes(self) -> tuple[Vm, ...]:
         """Return the listed VMs that run figdoor itself."""
         return self.vm_list.of_service(FIGDOOR_SERVICE)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -7,7 +7,7 @@
 from figdoor_kernel._event_bus import EventBus
 from figdoor_kernel._events import TablesAccepted
 from figdoor_kernel._fleet import Fleet
-from figdoor_kernel._ids import AvailabilityZoneName, NodeId
+from figdoor_kernel._ids import AvailabilityZoneName, NodeId, Revision
 from figdoor_kernel._protocols import Clock
 from figdoor_kernel._registry import Extension, Registry
 from figdoor_kernel._tables import Tables
@@ -53,6 +53,11 @@
         self.fleet = Fleet(self.events)
         self.events.subscribe(TablesAccepted, self._on_tables)
 
+    @property
+    def revision(self) -> Revision:
+        """The revision of the tables in force, 0 before the first."""
+        return self.tables.revision if self.tables else Revision(0)
+
     def part(self, extension: Extension, name: str) -> Any:
         """Return the part of that name, built on first use."""
         key = (extension, name)
--- a/packages/figdoor-traces/src/figdoor_traces/_inputs.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_inputs.py
@@ -71,10 +71,9 @@
 
     def in_force(self, line: Line) -> Statement:
         """Return what can be stated about the tables."""
-        tables = self._node.tables
         acceptance = self._node.part(Extension.SERVICE, 'acceptance')
         return {
-            'revision': tables.revision if tables else 0,
+            'revision': self._node.revision,
             'refused_revision': acceptance.refused_revision,
             'findings': [str(finding) for finding in acceptance.findings],
         }
