Split long stand-in and bench modules, share what benches repeated

Two benches with real processes had the same tables and table cells; two others filtered the decision plug-ins by hand, one of them with a clock of its own.

Change: ports and the deployment have modules of their own, and so has the fleet that follows changes of the VM list. bench/live.py holds the shared tables and cells; load_plugins filters the plug-ins.

Ruled out: one module for the absl flags of both benches, since their defaults differ.

Conclusion: tests change their imports only.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -19,7 +19,6 @@
     LoadReport,
     Node,
     Options,
-    Registry,
     ServiceConfirmed,
     TablesAccepted,
     Vm,
@@ -54,11 +53,7 @@
 
 def make_dispatcher(chooser):
     """Return the dispatcher of a node with all decision plug-ins."""
-    registry = Registry()
-    for extension, factories in load_plugins().factories().items():
-        for name, factory in factories.items():
-            if factory.__module__.startswith('figdoor_decisions'):
-                registry.provide(extension, name, factory)
+    registry = load_plugins('figdoor_decisions')
     node = Node(
         'n0', 'z1', StillClock(), Random(1), registry, Options(chooser=chooser)
     )
--- a/bench/levels.py
+++ b/bench/levels.py
@@ -8,12 +8,11 @@
 highest in brackets.
 """
 
-from statistics import median
-
 from absl import app, flags
+from live import POOLS, ROUTES, SLOTS, describe
 from sizes import pick
 
-from figdoor_standins.processes import Deployment
+from figdoor_standins.deployment import Deployment
 
 FLAGS = flags.FLAGS
 flags.DEFINE_list(
@@ -31,17 +30,7 @@
 flags.DEFINE_integer('rate', 400, 'calls per second over all levels')
 
 WARM_UP = pick(50, quick=5)
-SLOTS = 200
 QUANTILES = ('p50_ms', 'p99_ms')
-ROUTES = """
-route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
-work,  *,         /,           GET POST,   work, GET,   all,    5000,        20
-"""
-POOLS = f"""
-pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
-*,    ,        z1,                 ,      ,            ,
-work, work,    z1,                 {SLOTS},  250,      {SLOTS},    1
-"""
 
 
 def run_once(deployment, members, levels):
@@ -62,11 +51,6 @@
     return seen, len(told) - told.count('answered')
 
 
-def describe(values):
-    """Return median and spread."""
-    return f'{median(values):.2f} ({min(values):.2f} to {max(values):.2f})'
-
-
 def measure(deployment, levels):
     """Print the row of one number of levels."""
     added = {name: [] for name in QUANTILES}
--- a/bench/memory.py
+++ b/bench/memory.py
@@ -11,7 +11,8 @@
 
 from sizes import pick
 
-from figdoor_standins.processes import HOST, Deployment
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.ports import HOST
 
 TABLES = Path(__file__).parents[1] / 'examples' / 'fountain-dispatch'
 STEPS = pick((0, 500, 1000, 2000), quick=(0, 10))
--- a/bench/path.py
+++ b/bench/path.py
@@ -8,12 +8,12 @@
 """
 
 import json
-from statistics import median
 
 from absl import app, flags
+from live import POOLS, ROUTES, SLOTS, describe
 from sizes import pick
 
-from figdoor_standins.processes import Deployment
+from figdoor_standins.deployment import Deployment
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('repeats', pick(5, quick=1), 'runs of each case')
@@ -33,17 +33,7 @@
 flags.DEFINE_boolean('json', False, 'print the raw figures too')
 
 WARM_UP = 200
-SLOTS = 200
 QUANTILES = ('p50_ms', 'p99_ms', 'p999_ms')
-ROUTES = """
-route, authority, path_prefix, operations, pool, idempotent, tenant, deadline_ms, retry_percent
-work,  *,         /,           GET POST,   work, GET,   all,    5000,        20
-"""
-POOLS = f"""
-pool, service, availability_zones, slots, connections, cold_limit, probes_per_s
-*,    ,        z1,                 ,      ,            ,
-work, work,    z1,                 {SLOTS},  250,      {SLOTS},    1
-"""
 
 
 def run_once(deployment, port, connections):
@@ -75,15 +65,6 @@
     return figures
 
 
-def describe(repeats, name, digits=2):
-    """Return median and spread of one figure."""
-    values = [one[name] for one in repeats]
-    low, high = min(values), max(values)
-    return (
-        f'{median(values):.{digits}f} ({low:.{digits}f} to {high:.{digits}f})'
-    )
-
-
 def main(_):
     """Measure all cases and print the table."""
     print(
@@ -110,11 +91,14 @@
                     measure(deployment, int(connections))
                     for _ in range(FLAGS.repeats)
                 ]
+                columns = {
+                    name: [one[name] for one in repeats] for name in repeats[0]
+                }
                 cells = [size, connections]
-                cells.extend(describe(repeats, name) for name in QUANTILES)
-                cells.append(describe(repeats, 'direct_p99_ms'))
-                cells.append(describe(repeats, 'cpu_us', 0))
-                cells.append(str(sum(one['unanswered'] for one in repeats)))
+                cells.extend(describe(columns[name]) for name in QUANTILES)
+                cells.append(describe(columns['direct_p99_ms']))
+                cells.append(describe(columns['cpu_us'], 0))
+                cells.append(str(sum(columns['unanswered'])))
                 print('|', ' | '.join(cells), '|', flush=True)
                 if FLAGS.json:
                     print(json.dumps(repeats), flush=True)
--- a/bench/vm_list.py
+++ b/bench/vm_list.py
@@ -18,40 +18,26 @@
 import gc
 import json
 import statistics
-import sys
 import time
 import tracemalloc
-from collections import Counter
-from heapq import heappop, heappush
-from pathlib import Path
 from random import Random
 
-sys.path.insert(0, str(Path(__file__).parents[1] / 'tests'))
-
 from sizes import pick
-from support import node_vm, upstream_vm
+from spreading import ZONES, Spreading
 
-from figdoor_decisions.listing import VmListRead
 from figdoor_decisions.listing._differences import (
     Version,
     checksum_of,
     difference,
 )
-from figdoor_gateway.peers import decode, encode
 from figdoor_gateway.platform import read_vm_list
 from figdoor_kernel import (
     AvailabilityZoneName,
     Extension,
-    Flooded,
     NewsReceived,
     Node,
     NodeId,
-    PeerMessageReceived,
-    PeerMessageWanted,
-    Tick,
-    VmList,
     VmListChanged,
-    VmState,
     load_plugins,
 )
 from figdoor_standins.clock import ManualClock
@@ -61,27 +47,11 @@
     quick=((30, 20),),
 )
 REPEATS = pick(5, quick=2)
-ZONES = 7
 FLEETS = pick((20, 40, 160, 640), quick=(20,))
 CHANGES = pick(10, quick=1)
-TICK_MS = 50
-DELAY_MS = 1.5
-# A whole list of 1 MB at 1 Gbit/s and its reading take some 45 ms.
-WHOLE_READ_MS = 45
-HEADER_BYTES = 28
 CHANGES_PER_S = 3 * (26 + 2100) / 86_400
 
 
-class FixedClock:
-    """A clock that the bench sets."""
-
-    def __init__(self):
-        self.time_ms = 0.0
-
-    def now_ms(self):
-        return self.time_ms
-
-
 def make_rows(workers, nodes, changed=0):
     """Return the rows of a VM list; ``changed`` gives one VM a new port."""
     rows = []
@@ -102,24 +72,17 @@
 
 def make_decisions():
     """Return a node with all decision plug-ins."""
-    registry = load_plugins()
+    registry = load_plugins('figdoor_decisions')
     node = Node(
         NodeId('vm-6700'),
         AvailabilityZoneName('zone-0'),
-        FixedClock(),
+        ManualClock(),
         Random(1),
         registry,
     )
-    for extension in (
-        Extension.ROUTER,
-        Extension.ADMISSION_RULE,
-        Extension.CANDIDATE_RULE,
-        Extension.PERMIT_SOURCE,
-        Extension.RETRY_RULE,
-        Extension.SERVICE,
-    ):
-        for name, factory in registry.factories().get(extension, {}).items():
-            if factory.__module__.startswith('figdoor_decisions'):
+    for extension, factories in registry.factories().items():
+        if extension is not Extension.CHOOSER:
+            for name in factories:
                 node.part(extension, name)
     return node
 
@@ -187,130 +150,6 @@
     return f'{statistics.median(times_ms):.1f} ({low:.1f}..{high:.1f})'
 
 
-class Spreading:
-    """A fleet that follows changes of the VM list."""
-
-    def __init__(self, size):
-        self.clock = ManualClock()
-        self.random = Random(size)
-        self.whole_reads = Counter()
-        self.bytes = 0
-        self.messages = 0
-        self.busy = set()
-        self.queue = []
-        self.order = 0
-        self.vms = [
-            node_vm(f'entry-{number:03}', f'south-{number % ZONES}')
-            for number in range(size)
-        ]
-        self.vms += [
-            upstream_vm(f'worker-{number:05}') for number in range(600)
-        ]
-        self.version = 0
-        registry = load_plugins('figdoor_decisions')
-        self.nodes = {
-            vm.vm_id: self.make(vm, number, registry)
-            for number, vm in enumerate(self.vms[:size])
-        }
-        self.run(3000)
-        self.whole_reads.clear()
-        self.bytes = self.messages = 0
-
-    def make(self, vm, seed, registry):
-        node = Node(
-            NodeId(vm.vm_id),
-            vm.availability_zone,
-            self.clock,
-            Random(seed),
-            registry,
-        )
-        node.part(Extension.SERVICE, 'vm-lists')
-        node.part(Extension.SERVICE, 'heartbeats')
-        node.events.subscribe(
-            PeerMessageWanted,
-            lambda event: self.send(node, event),
-        )
-        return node
-
-    def send(self, node, event):
-        message = event.message
-        if isinstance(message, Flooded):
-            datagram = encode(node.node_id, message)
-            self.messages += 1
-            self.bytes += len(datagram) + HEADER_BYTES
-            _, message = decode(datagram)
-        receiver = self.nodes[event.target]
-        self.later(
-            DELAY_MS,
-            lambda: receiver.events.publish(
-                PeerMessageReceived(node.node_id, message, self.clock.now_ms()),
-            ),
-        )
-
-    def later(self, delay_ms, action):
-        self.order += 1
-        at_ms = self.clock.now_ms() + delay_ms
-        heappush(self.queue, (at_ms, self.order, action))
-
-    def run(self, total_ms):
-        for _ in range(round(total_ms / TICK_MS)):
-            now_ms = self.clock.now_ms() + TICK_MS
-            while self.queue and self.queue[0][0] <= now_ms:
-                at_ms, _, action = heappop(self.queue)
-                self.clock.reactor.rightNow = at_ms / 1000
-                action()
-            self.clock.reactor.rightNow = now_ms / 1000
-            for name, node in self.nodes.items():
-                node.events.publish(Tick(now_ms))
-                self.read(name, now_ms)
-
-    def read(self, name, now_ms):
-        if name in self.busy:
-            return
-        lists = self.nodes[name].part(Extension.SERVICE, 'vm-lists')
-        planned = lists.next_read(now_ms)
-        if planned is None:
-            return
-        self.busy.add(name)
-        is_whole = planned is VmListRead.WHOLE
-        self.whole_reads[name] += is_whole
-        mark, vm_list = f'v{self.version}', VmList(tuple(self.vms))
-        self.later(
-            WHOLE_READ_MS if is_whole else 2 * DELAY_MS,
-            lambda: self.take(name, is_whole, mark, vm_list),
-        )
-
-    def take(self, name, is_whole, mark, vm_list):
-        self.busy.discard(name)
-        lists = self.nodes[name].part(Extension.SERVICE, 'vm-lists')
-        now_ms = self.clock.now_ms()
-        if mark == lists.mark:
-            lists.take_unchanged(now_ms)
-        elif is_whole:
-            lists.take_whole(mark, vm_list, now_ms)
-        else:
-            lists.take_mark(mark, now_ms)
-
-    def change(self):
-        """Let one worker change; return the time until all nodes know it."""
-        self.version += 1
-        changed = upstream_vm(
-            f'worker-{self.version:05}', state=VmState.LEAVING
-        )
-        self.vms = [vm for vm in self.vms if vm.vm_id != changed.vm_id]
-        self.vms.append(changed)
-        begun_ms = self.clock.now_ms()
-        behind = list(self.nodes.values())
-        while behind:
-            self.run(TICK_MS)
-            behind = [
-                node
-                for node in behind
-                if node.fleet.find(changed.vm_id).vm_state is VmState.LIVE
-            ]
-        return self.clock.now_ms() - begun_ms
-
-
 def spread(size, whole_bytes):
     """Return one row of the second table."""
     fleet = Spreading(size)
--- a/standins/src/figdoor_standins/demo/fleet.py
+++ b/standins/src/figdoor_standins/demo/fleet.py
@@ -8,7 +8,8 @@
 
 from figdoor_standins.clock import clock_ms
 from figdoor_standins.demo.run import DemoRun, Start
-from figdoor_standins.processes import HOST, Deployment
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.ports import HOST
 
 TABLES = Path(__file__).parents[4] / 'examples' / 'fountain-dispatch'
 ZONES = ('south-1', 'south-2')
--- a/standins/src/figdoor_standins/inner_calls.py
+++ b/standins/src/figdoor_standins/inner_calls.py
@@ -9,8 +9,8 @@
 
 from figdoor_standins.clock import clock_ms
 from figdoor_standins.load_client import LoadClient, render_request
+from figdoor_standins.ports import HOST
 
-HOST = '127.0.0.1'
 DEADLINE = b'figdoor-deadline-ms'
 
 
--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -7,42 +7,20 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 import urllib.error
 import urllib.request
-from contextlib import ExitStack
-from itertools import count
 from pathlib import Path
 
-HOST = '127.0.0.1'
+from figdoor_standins.ports import HOST, free_port
+
 START_TIMEOUT_S = 20
-PORTS = range(15_000, 32_000)
-# Processes that start fleets at the same time begin in different places.
-_PORTS_PER_PROCESS = 64
-_taken = count(_PORTS_PER_PROCESS * os.getpid())
 BIN = Path(sys.executable).parent
 
 
-def free_port():
-    """Return a port that nobody listens on and that was not returned before.
-
-    Ports that the system takes for outgoing connections are left out, since a
-    caller's connection could take one before its process listens.
-    """
-    while True:
-        port = PORTS[next(_taken) % len(PORTS)]
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
-
 def http(port, path, method='GET', body=None, headers=None, timeout_s=10):
     """Return status, headers and body of one request."""
     request = urllib.request.Request(
@@ -278,85 +256,6 @@
         return http(self.port, path, 'POST', json.dumps(value).encode())[2]
 
 
-class Deployment:
-    """A platform, upstreams and gateways; a context manager.
-
-    Leaving it ends every process that it started.
-    """
-
-    def __init__(self, log_folder=None):
-        self.log_folder = log_folder
-        self.platform = None
-        self.upstreams = []
-        self.gateways = []
-        self._stack = ExitStack()
-
-    def __enter__(self):
-        self.platform = self._own(PlatformProcess())
-        wait_until(self.platform.is_up, what='platform up')
-        return self
-
-    def __exit__(self, *_):
-        self._stack.close()
-
-    def add_upstream(self, vm_id, service, zone, **options):
-        """Start an upstream."""
-        upstream = self._own(UpstreamProcess(vm_id, service, zone, **options))
-        self.upstreams.append(upstream)
-        return upstream
-
-    def add_gateway(self, vm_id, zone, **settings):
-        """Start a gateway."""
-        log_path = os.devnull
-        if self.log_folder:
-            log_path = str(Path(self.log_folder) / f'{vm_id}.log')
-        gateway = self._own(
-            GatewayProcess(
-                vm_id,
-                zone,
-                self.platform.port,
-                log_path,
-                **settings,
-            ),
-        )
-        self.gateways.append(gateway)
-        return gateway
-
-    def start_caller(self, ports=None, **options):
-        """Start a caller of these ports, else of all gateways."""
-        ports = ports or [gateway.port for gateway in self.gateways]
-        return self._own(CallerProcess(ports, **options))
-
-    def list_vms(self, without=()):
-        """Publish all members, but for some, as the VM list."""
-        members = [*self.upstreams, *self.gateways]
-        self.platform.list_vms([one for one in members if one not in without])
-
-    def wait_ready(self):
-        """Wait until everything answers and gateways want callers."""
-        for upstream in self.upstreams:
-            wait_until(upstream.is_up, what=f'{upstream.vm_id} up')
-        self.list_vms()
-        for gateway in self.gateways:
-            wait_until(gateway.is_ready, what=f'{gateway.vm_id} ready')
-
-    def wait_answering(self, path, headers=None):
-        """Wait until every gateway gets answers, after its cold start.
-
-        Upstreams of a new fleet are cold, and home nodes act only when
-        those of an earlier fleet can no longer.
-        """
-        for gateway in self.gateways:
-            wait_until(
-                lambda: http(gateway.port, path, headers=headers)[0] == 200,
-                what=f'{gateway.vm_id} answers {path}',
-            )
-
-    def _own(self, process):
-        self._stack.callback(process.kill)
-        return process
-
-
 def _row(vm_id, service, zone, port, state):
     return {
         'id': vm_id,
--- a/tests/ctl/test_status.py
+++ b/tests/ctl/test_status.py
@@ -10,7 +10,8 @@
 
 from figdoor_ctl.commands._status import status
 from figdoor_ctl.status import NodeStatus, read_facts
-from figdoor_standins.processes import BIN, Deployment
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.processes import BIN
 
 ONE, OTHER = '127.0.0.1:1', '127.0.0.1:2'
 
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from figdoor_standins.processes import Deployment, http, wait_until
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.processes import http, wait_until
 
 # The deadline of /work bounds how long an upstream that stopped can hold a
 # request; /slow is for transfers that take their time. Cold upstreams get their
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -11,7 +11,9 @@
 import pytest
 from support import POOLS, ROUTES
 
-from figdoor_standins.processes import HOST, Deployment, http, wait_until
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.ports import HOST
+from figdoor_standins.processes import http, wait_until
 
 pytestmark = pytest.mark.processes
 PROMISED_S = 3
--- a/tests/processes/test_gateway_failures.py
+++ b/tests/processes/test_gateway_failures.py
@@ -8,7 +8,8 @@
 import pytest
 from process_times import SETTLE_S
 
-from figdoor_standins.processes import HOST, GatewayProcess, http, wait_until
+from figdoor_standins.ports import HOST
+from figdoor_standins.processes import GatewayProcess, http, wait_until
 
 pytestmark = pytest.mark.processes
 
--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -35,7 +35,8 @@
     TablesOffered,
     Tick,
 )
-from figdoor_standins.processes import Deployment, http
+from figdoor_standins.deployment import Deployment
+from figdoor_standins.processes import http
 from figdoor_traces import Recorder, TraceRandom, read_trace, replay
 
 SECRET = 'hunter2'
