--- a/standins/src/figdoor_standins/processes.py
+++ b/standins/src/figdoor_standins/processes.py
@@ -313,9 +313,10 @@
         ports = ports or [gateway.port for gateway in self.gateways]
         return self._own(CallerProcess(ports, **options))
 
-    def list_vms(self):
-        """Publish all members as the VM list."""
-        self.platform.list_vms([*self.upstreams, *self.gateways])
+    def list_vms(self, without=()):
+        """Publish all members, but for some, as the VM list."""
+        members = [*self.upstreams, *self.gateways]
+        self.platform.list_vms([one for one in members if one not in without])
 
     def wait_ready(self):
         """Wait until everything answers and gateways want callers."""
--- a/standins/src/figdoor_standins/upstream.py
+++ b/standins/src/figdoor_standins/upstream.py
@@ -66,6 +66,7 @@
     answer_bytes: int = 0
     chunked: int = 0
     cold_limit: int = 0
+    # The process ends when it runs a request with this text in its target.
     die_on: str = ''
 
 
@@ -99,8 +100,6 @@
     def begin(self, connection):
         """Run one request now."""
         behaviour = self.behaviour
-        if behaviour.die_on and behaviour.die_on in connection.url.decode():
-            os.kill(os.getpid(), signal.SIGKILL)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         if behaviour.cold_limit and self.running > behaviour.cold_limit:
@@ -108,6 +107,8 @@
         request_id = connection.request_id
         self.last_started_ms = clock_ms()
         self.journal.write('run', request_id)
+        if behaviour.die_on and behaviour.die_on in connection.url.decode():
+            os.kill(os.getpid(), signal.SIGKILL)
         if request_id:
             self.executions[request_id] += 1
         delay_s = 0 if behaviour.fail_fast else behaviour.service_ms / 1000
--- a/tests/processes/test_upstream_failures.py
+++ b/tests/processes/test_upstream_failures.py
@@ -33,6 +33,82 @@
         assert counts['answered'] > counts.total() / 2
 
 
+class TestRetries:
+    """Idempotent requests are answered although an upstream fails."""
+
+    def judge(self, site, caller):
+        """Check that all were answered, some of them by a second run."""
+        counts = site.judge(caller, most_runs=2)
+        assert counts['answered'] == counts.total()
+        executions = site.executions()
+        assert 2 in {executions[one] for one in caller.result()['told']}
+
+    def test_reads_survive_the_kill_of_an_upstream(self, site, extra_upstream):
+        # So slow that some are in progress at each upstream.
+        site.behave(service_ms=300)
+        try:
+            caller = site.start(
+                method='GET',
+                rate=80,
+                requests=160,
+                connections=32,
+            )
+            time.sleep(SETTLE_S)
+            site.remove(extra_upstream)
+            self.judge(site, caller)
+        finally:
+            site.behave(service_ms=2)
+
+    def test_reads_survive_resets_after_they_ran(self, site, spoilt):
+        caller = site.start(method='GET', rate=200, requests=300)
+        site.behave([spoilt], reset=1)
+        # Fewer losses than the retry budget allows: 10 and 20% of requests.
+        time.sleep(0.1)
+        site.behave([spoilt], reset=0)
+        self.judge(site, caller)
+
+
+class TestPoison:
+    DEATHS = 2
+    WATCHED_S = 3
+
+    @pytest.fixture
+    def mortal(self, site):
+        """All upstreams die of one path; those that did come back."""
+        site.behave(die_on='poison')
+        yield
+        site.revive()
+        site.behave(die_on='')
+
+    def test_request_that_kills_is_refused_by_all_gateways(self, site, mortal):
+        """Guards against a fleet that dies of one request sent again."""
+        caller = site.start(rate=200)
+        # Both gateways must have answered the innocent requests before.
+        time.sleep(SETTLE_S)
+        told = [self.send(gateway) for gateway in site.gateways]
+        assert told == ['unknown'] * self.DEATHS
+        ended = site.ended()
+        site.deployment.list_vms(without=ended)
+        until_s = time.monotonic() + self.WATCHED_S
+        site.judge(caller)
+        innocent = site.start(rate=200)
+        told = set()
+        while time.monotonic() < until_s:
+            time.sleep(0.1)
+            told.update(map(self.send, site.gateways))
+        assert told == {'not-run'}
+        assert site.ended() == ended
+        assert len(ended) == site.executions()['poison'] == self.DEATHS
+        counts = site.judge(innocent)
+        assert counts['answered'] == counts.total()
+
+    def send(self, gateway):
+        """Send the request anew and return what its caller is told."""
+        headers = {'X-Request-Id': 'poison'}
+        answer = http(gateway.port, '/work/poison', 'POST', b'', headers)
+        return answer[1]['figdoor-outcome']
+
+
 class TestUpstreamLies:
     @pytest.fixture
     def liar(self, site, spoilt):
