--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 	tools/check
 
 format: venv
-	.venv/bin/ruff check --fix packages standins bench tests tools
-	.venv/bin/ruff format packages standins bench tests tools
+	.venv/bin/ruff check --fix packages platform standins bench tests tools
+	.venv/bin/ruff format packages platform standins bench tests tools
 
 reference: venv
 	.venv/bin/python tools/reference.py
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/__init__.py
@@ -12,3 +12,4 @@
     registry.provide(Extension.SERVICE, 'acceptance', Acceptance)
     registry.provide(Extension.SERVICE, 'config-lease', ConfigLease)
     registry.provide(Extension.ADMISSION_RULE, 'config-lease', LeaseRule)
+    registry.provide(Extension.READINESS_RULE, 'config-lease', LeaseRule)
--- a/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/configuration/_lease.py
@@ -88,3 +88,9 @@
         if self._lease.holds(now_ms):
             return None
         return Refusal.LEASE_EXPIRED
+
+    def unready_reason(self, now_ms: float) -> str | None:
+        """Want no callers either while all work is refused."""
+        if self._lease.holds(now_ms):
+            return None
+        return 'tables not confirmed lately'
--- a/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
@@ -2,6 +2,7 @@
 
 from figdoor_kernel import (
     ALLOW,
+    ANY,
     DENY,
     CandidateRule,
     InstanceId,
@@ -43,7 +44,10 @@
         pool = tables.pools.get(routed.pool.name) if tables else None
         if pool is None or pool.service != upstream.service:
             return DENY
-        if upstream.availability_zone in pool.availability_zones:
+        zones = pool.availability_zones
+        zone = upstream.availability_zone
+        in_service = zone in zones or ANY in zones
+        if in_service and tables is not None and zone not in tables.evacuated:
             return ALLOW
         return DENY
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
@@ -20,12 +20,17 @@
     'connection_cap',
     'in_flight_cap',
     'register',
+    'register_caps',
 )
 
 
 def register(registry: Registry) -> None:
-    """Provide subsets, the limits per upstream and the tenants' shares."""
+    """Provide subsets and the limits of connections."""
     registry.provide(Extension.SERVICE, 'sharing', Sharing)
     registry.provide(Extension.SERVICE, 'connection-limits', ConnectionLimits)
+
+
+def register_caps(registry: Registry) -> None:
+    """Provide the caps per upstream and the tenants' shares."""
     registry.provide(Extension.CANDIDATE_RULE, 'in-flight', InFlightLimit)
     registry.provide(Extension.ADMISSION_RULE, 'tenant-share', TenantShare)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/__init__.py
@@ -0,0 +1,30 @@
+"""What the platform publishes: the newest items and the tables from them."""
+
+from figdoor_decisions.published._acceptance import NewestAcceptance
+from figdoor_decisions.published._items import ItemChanges, PublishedItems
+from figdoor_decisions.published._reading import (
+    ReadKind,
+    StoreRead,
+    StoreReadingPlan,
+)
+from figdoor_decisions.published._vm_list import ListedVms
+from figdoor_kernel import Extension, Registry
+
+__all__ = (
+    'ItemChanges',
+    'NewestAcceptance',
+    'ListedVms',
+    'PublishedItems',
+    'ReadKind',
+    'StoreRead',
+    'StoreReadingPlan',
+    'register',
+)
+
+
+def register(registry: Registry) -> None:
+    """Provide the items and the acceptance of tables."""
+    registry.provide(Extension.SERVICE, 'published-items', PublishedItems)
+    registry.provide(Extension.SERVICE, 'listed-vms', ListedVms)
+    registry.provide(Extension.SERVICE, 'store-reading', StoreReadingPlan)
+    registry.provide(Extension.SERVICE, 'acceptance', NewestAcceptance)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -0,0 +1,74 @@
+"""When and how the store is read."""
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from figdoor_decisions.published._items import PublishedItems
+from figdoor_kernel import Extension, Node, Revision, Service
+
+# A connection can go silent without a reset. An update must be known within
+# two seconds once the node has been in touch for three, so a silent watch
+# must end within that time.
+WATCH_MS = 3000
+# Changes often come in groups, and each call counts.
+MIN_INTERVAL_MS = 100.0
+FIRST_BACKOFF_MS = 100.0
+MAX_BACKOFF_MS = 800.0
+
+
+@unique
+class ReadKind(Enum):
+    """How much is read."""
+
+    WHOLE = 'whole'
+    WATCH = 'watch'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRead:
+    """One read to begin now; ``wait_ms`` is how long a watch may wait."""
+
+    kind: ReadKind
+    after: Revision
+    wait_ms: int
+
+
+class StoreReadingPlan(Service):
+    """Watches from the newest revision known, and reads all after a gap."""
+
+    def __init__(self, node: Node) -> None:
+        """Start with a whole read."""
+        self._random = node.random
+        self._items: PublishedItems = node.part(
+            Extension.SERVICE,
+            'published-items',
+        )
+        self._needs_whole = True
+        self._backoff_ms: float = 0
+        self._next_ms = float('-inf')
+
+    def next_read(self, now_ms: float) -> StoreRead | None:
+        """Return the read to begin now, ``None`` where it is too early."""
+        if now_ms < self._next_ms:
+            return None
+        if self._needs_whole:
+            return StoreRead(ReadKind.WHOLE, Revision(0), 0)
+        return StoreRead(ReadKind.WATCH, self._items.as_of, WATCH_MS)
+
+    def succeed(self, now_ms: float) -> None:
+        """Note that a read was answered."""
+        self._needs_whole = False
+        self._backoff_ms = 0
+        self._next_ms = now_ms + MIN_INTERVAL_MS
+
+    def lose_history(self, now_ms: float) -> None:
+        """Note that the store has forgotten what a watch would begin with."""
+        self._needs_whole = True
+        self._next_ms = now_ms
+
+    def fail(self, now_ms: float) -> None:
+        """Note that a read failed."""
+        doubled_ms = max(FIRST_BACKOFF_MS, 2 * self._backoff_ms)
+        self._backoff_ms = min(MAX_BACKOFF_MS, doubled_ms)
+        jitter = 0.5 + self._random.random()
+        self._next_ms = now_ms + jitter * self._backoff_ms
--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
@@ -1,14 +1,35 @@
 """Limits second and later attempts."""
 
+from figdoor_decisions.retries._advice import SpreadAdvice
+from figdoor_decisions.retries._fleet_budget import FleetRetryBudget
 from figdoor_decisions.retries._rules import DeadlineRule, RetryBudget
 from figdoor_decisions.retries._time_left import TimeLeftRule
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('DeadlineRule', 'RetryBudget', 'TimeLeftRule', 'register')
+__all__ = (
+    'DeadlineRule',
+    'RetryBudget',
+    'TimeLeftRule',
+    'register',
+    'FleetRetryBudget',
+    'SpreadAdvice',
+    'register_route_budget',
+    'register_fleet_budget',
+)
 
 
 def register(registry: Registry) -> None:
-    """Provide the retry budget and both rules about the time left."""
-    registry.provide(Extension.RETRY_RULE, 'budget', RetryBudget)
+    """Provide both rules about the time left."""
     registry.provide(Extension.ADMISSION_RULE, 'deadline', DeadlineRule)
     registry.provide(Extension.ADMISSION_RULE, 'time-left', TimeLeftRule)
+
+
+def register_route_budget(registry: Registry) -> None:
+    """Provide the budget of each route on each node."""
+    registry.provide(Extension.RETRY_RULE, 'budget', RetryBudget)
+
+
+def register_fleet_budget(registry: Registry) -> None:
+    """Provide the share of a budget that each service has fleet-wide."""
+    registry.provide(Extension.RETRY_RULE, 'fleet-budget', FleetRetryBudget)
+    registry.provide(Extension.RETRY_ADVICE, 'spread', SpreadAdvice)
--- a/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
@@ -25,13 +25,15 @@
     During the grace the node is unready but still takes requests, because
     the platform's balancer notices late. Afterwards it only finishes what
     runs. Every request has a deadline, so the longest deadline bounds the
-    time that this takes.
+    time that this takes, unless the platform kills the process earlier and
+    ``stop_limit_ms`` says when.
     """
 
     def __init__(self, node: Node) -> None:
         """Start in the phase ``running``."""
         self._node = node
         self._grace_end_ms: float | None = None
+        self._begun_ms: float = 0
         self._bound_end_ms: float = 0
 
     @property
@@ -43,7 +45,8 @@
         """Begin to stop; a second call changes nothing."""
         if self._grace_end_ms is None:
             self._grace_end_ms = now_ms + grace_ms
-            self._bound_end_ms = self._grace_end_ms + self._longest_ms()
+            self._begun_ms = now_ms
+            self._bound_end_ms = self._bound_ms()
 
     def phase(self, in_progress: int, now_ms: float) -> StopPhase:
         """Return the phase, given how many requests are in progress."""
@@ -51,7 +54,7 @@
             return StopPhase.RUNNING
         if now_ms < self._grace_end_ms:
             # Tables accepted meanwhile can bring a longer deadline.
-            self._bound_end_ms = self._grace_end_ms + self._longest_ms()
+            self._bound_end_ms = self._bound_ms()
             return StopPhase.GRACE
         if not in_progress:
             return StopPhase.DONE
@@ -59,6 +62,12 @@
             return StopPhase.FINISHING
         return StopPhase.CUTTING
 
+    def _bound_ms(self) -> float:
+        limit_ms = self._node.options.stop_limit_ms
+        if limit_ms:
+            return self._begun_ms + limit_ms
+        return (self._grace_end_ms or 0) + self._longest_ms()
+
     def _longest_ms(self) -> float:
         tables = self._node.tables
         routes = tables.routes if tables else ()
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/__init__.py
@@ -0,0 +1,19 @@
+"""Asks a few upstreams for their load right before a call is placed.
+
+Reports go stale within the time in which the speed of a shared machine
+changes, so a call is placed by answers to probes that were sent for it.
+"""
+
+from figdoor_decisions.surveys._chooser import ExpectedTime
+from figdoor_decisions.surveys._loads import FreshLoads
+from figdoor_decisions.surveys._survey import ProbeSurvey
+from figdoor_kernel import Extension, Registry
+
+__all__ = ('ExpectedTime', 'FreshLoads', 'ProbeSurvey', 'register')
+
+
+def register(registry: Registry) -> None:
+    """Provide fresh loads, the survey and the chooser that uses both."""
+    registry.provide(Extension.SERVICE, 'fresh-loads', FreshLoads)
+    registry.provide(Extension.LOAD_SURVEY, 'probes', ProbeSurvey)
+    registry.provide(Extension.CHOOSER, 'expected-time', ExpectedTime)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/_chooser.py
@@ -0,0 +1,70 @@
+"""Picks the upstream that should answer first."""
+
+from collections.abc import Sequence
+from math import inf
+
+from figdoor_decisions.surveys._loads import FreshLoads
+from figdoor_decisions.surveys._survey import ProbeSurvey
+from figdoor_kernel import Extension, Node, RoutedCall, Upstream
+
+# Another zone costs 3 ms and transfer, which a call takes only for a clear
+# gain in speed.
+REMOTE_FACTOR = 1.15
+# A call looks at other zones once before it takes an upstream that is this
+# much slower than usual.
+GOOD_SLOWNESS = 1.8
+
+
+class ExpectedTime:
+    """The lowest expected time among upstreams that were just probed."""
+
+    def __init__(self, node: Node) -> None:
+        """Use fresh loads and the course of surveys."""
+        self._availability_zone = node.availability_zone
+        self._loads: FreshLoads = node.part(Extension.SERVICE, 'fresh-loads')
+        self._survey: ProbeSurvey = node.part(
+            Extension.LOAD_SURVEY,
+            'probes',
+        )
+        self._random = node.random
+
+    def choose(
+        self,
+        candidates: Sequence[Upstream],
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> Upstream | None:
+        """Return ``None`` where no candidate is known to have room.
+
+        Upstreams in a cold start are left to calls that find no other.
+        """
+        fresh = [
+            upstream
+            for upstream in candidates
+            if self._loads.is_fresh(upstream, now_ms)
+        ]
+        warm = [one for one in fresh if not self._is_cold(one, now_ms)]
+        best: Upstream | None = None
+        best_slowness = inf
+        for upstream in warm or fresh:
+            slowness = self._slowness(upstream, now_ms)
+            if slowness < best_slowness:
+                best = upstream
+                best_slowness = slowness
+        if self._survey.rounds(routed) == 1 and best_slowness > GOOD_SLOWNESS:
+            return None
+        return best
+
+    def _is_cold(self, upstream: Upstream, now_ms: float) -> bool:
+        if upstream.warm_at_ms > now_ms:
+            return True
+        return self._loads.is_cold(upstream, now_ms)
+
+    def _slowness(self, upstream: Upstream, now_ms: float) -> float:
+        slowness = self._loads.slowness(upstream, now_ms)
+        if slowness is None:
+            return inf
+        if upstream.availability_zone != self._availability_zone:
+            slowness *= REMOTE_FACTOR
+        # Nodes that see the same loads must not all pick the same upstream.
+        return slowness * (1 + self._random.random() / 50)
--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -26,6 +26,12 @@
         Options(
             chooser=settings.chooser,
             vm_list_lag_ms=settings.vm_list_lag_ms,
+            fleet_nodes=int(settings.fleet_nodes),
+            retry_budget_percent=settings.retry_budget_percent,
+            retry_budget_burst=settings.retry_budget_burst,
+            retry_budget_window_ms=settings.retry_budget_window_ms,
+            cold_excess_percent=settings.cold_excess_percent,
+            stop_limit_ms=settings.stop_limit_ms,
         ),
         settings,
     )
--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -20,6 +20,7 @@
     read_settings,
 )
 from figdoor_kernel import (
+    Deployment,
     Extension,
     FigdoorError,
     load_plugins,
@@ -54,7 +55,8 @@
     """Run a node until it is told to stop."""
     configure_logs(settings.log_format, settings.log_level)
     capture_twisted_errors()
-    node = build_node(settings, load_plugins())
+    deployment = Deployment(settings.deployment)
+    node = build_node(settings, load_plugins(deployment=deployment))
     lifecycle: Lifecycle = node.part(Extension.SERVICE, 'lifecycle')
     on_signal = partial(_stop, lifecycle)
     signal.signal(signal.SIGTERM, on_signal)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_answers.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_answers.py
@@ -1,40 +1,23 @@
 """How outcomes and refusals are told to callers."""
 
 from figdoor_gateway.headers import OUTCOME, REASON
-from figdoor_kernel import Outcome, Refusal
+from figdoor_gateway.protocols import OwnAnswer
+from figdoor_kernel import Outcome
 
-_STATUSES = {
-    Refusal.NO_ROUTE: (404, b'Not Found'),
-    Refusal.TENANT_SHARE: (429, b'Too Many Requests'),
-    Refusal.QUARANTINED: (508, b'Loop Detected'),
-}
-_NOT_RUN = (503, b'Service Unavailable')
-_LOST = (502, b'Bad Gateway')
-_LATE = (504, b'Gateway Timeout')
 
-
-def render_outcome(
-    outcome: Outcome,
-    refusal: Refusal | None,
-    late: bool,
+def render_own(
+    answer: OwnAnswer,
     keep_alive: bool,
     bodiless: bool = False,
 ) -> bytes:
-    """Return a whole answer that tells an outcome other than answered.
-
-    ``late`` says that the deadline passed before the outcome was known.
-    """
-    if outcome is Outcome.NOT_RUN:
-        status = _STATUSES.get(refusal, _NOT_RUN) if refusal else _NOT_RUN
-    else:
-        status = _LATE if late else _LOST
-    reason = refusal.value if refusal else 'upstream'
-    text = f'{outcome.value}: {reason}\n'.encode()
-    headers = (
-        (OUTCOME, outcome.value.encode()),
-        (REASON, reason.encode()),
+    """Return a whole answer that tells an outcome other than answered."""
+    return render_answer(
+        (answer.status, answer.reason),
+        answer.headers,
+        answer.text,
+        keep_alive,
+        bodiless,
     )
-    return render_answer(status, headers, text, keep_alive, bodiless)
 
 
 def render_error(
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_connection.py
@@ -156,7 +156,7 @@
         """
         if self.proxied is not None:
             return
-        settings = self._settings
+        settings = self.front_end.settings
         silent_ms = now_ms - self._last_active_ms
         if self._closing or self.is_write_full:
             if silent_ms > settings.idle_timeout_ms:
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_delivery.py
@@ -2,7 +2,7 @@
 
 from typing import TYPE_CHECKING
 
-from figdoor_gateway.frontend._answers import render_error, render_outcome
+from figdoor_gateway.frontend._answers import render_error, render_own
 from figdoor_gateway.frontend._checks import BadRequestError
 from figdoor_gateway.frontend._request import CallerRequest
 from figdoor_gateway.frontend._writing import AnswerWriter
@@ -45,6 +45,7 @@
             self._keeps_open(),
             self._request.http10,
             head,
+            self._connection.front_end.dialect,
         )
 
     def body(self, data: bytes) -> None:
@@ -76,11 +77,14 @@
     def tell(self, finish: Finish, is_late: bool) -> None:
         """Write the outcome of a call that was not answered."""
         keep_open = self._keeps_open()
+        dialect = self._connection.front_end.dialect
         self._connection.write(
-            render_outcome(
-                finish.outcome,
-                finish.refusal,
-                is_late or finish.refusal is Refusal.DEADLINE,
+            render_own(
+                dialect.own_answer(
+                    finish,
+                    is_late or finish.refusal is Refusal.DEADLINE,
+                    self._request.headers,
+                ),
                 keep_open,
                 bodiless=self._request.method == b'HEAD',
             ),
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -6,7 +6,7 @@
 
 from figdoor_gateway.frontend._checks import BadRequestError
 from figdoor_gateway.frontend._delivery import Delivery
-from figdoor_gateway.frontend._outbound import make_outbound
+from figdoor_gateway.frontend._outbound import make_outbound, max_idle_ms
 from figdoor_gateway.frontend._request import CallerRequest
 from figdoor_gateway.frontend._upload import Upload
 from figdoor_gateway.loop import Timer, call_later, cancel
@@ -43,7 +43,7 @@
         self._clock = connection.front_end.clock
         self._request = request
         self._exchange = connection.front_end.dispatcher.open(
-            request.as_call(),
+            request.as_call(connection.front_end.dialect),
             self._clock.now_ms(),
             self._advance,
         )
@@ -208,6 +208,11 @@
             body,
             step,
             self._clock.now_ms(),
+            self._connection.front_end.dialect,
+            max_idle_ms(
+                self._exchange.routed,
+                self._connection.front_end.settings,
+            ),
             upload,
         )
         sending = self._connection.front_end.transport.send(
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_request.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_request.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from figdoor_gateway.headers import DEADLINE
+from figdoor_gateway.protocols import Dialect
 from figdoor_kernel import Call, Fingerprint
 
 
@@ -38,7 +38,7 @@
                 return text
         return None
 
-    def as_call(self) -> Call:
+    def as_call(self, dialect: Dialect) -> Call:
         """Return the request as the decisions see it."""
         attributes = {
             name.decode('latin-1'): text.decode('latin-1')
@@ -50,9 +50,10 @@
             authority,
             self.target.decode('latin-1'),
             self._fingerprint(),
-            self._time_left_ms(),
+            dialect.time_left_ms(self.headers),
             self.body_complete,
             attributes,
+            dialect.request_id(self.headers),
         )
 
     def _fingerprint(self) -> Fingerprint:
@@ -61,12 +62,6 @@
         digest.update(self.body)
         return Fingerprint(digest.intdigest())
 
-    def _time_left_ms(self) -> float | None:
-        text = self.header(DEADLINE)
-        if text is None or not text.isdigit():
-            return None
-        return float(text)
-
 
 def _without_port(authority: str) -> str:
     """Return the host; an IPv6 number keeps its brackets."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
@@ -1,6 +1,7 @@
 """The listener for callers and all their connections."""
 
 from collections.abc import Callable
+from dataclasses import asdict, replace
 from typing import Any
 
 from loguru import logger
@@ -9,9 +10,9 @@
 
 from figdoor_gateway.frontend._connection import CallerConnection
 from figdoor_gateway.loop import BACKLOG, reactor
-from figdoor_gateway.protocols import UpstreamTransport
+from figdoor_gateway.protocols import Dialect, UpstreamTransport
 from figdoor_gateway.sockets import is_readable, refuse_new_connections
-from figdoor_kernel import Clock, Dispatcher, Extension, Node
+from figdoor_kernel import Clock, Dispatcher, Extension, Node, TablesAccepted
 
 SWEEP_INTERVAL_S = 1
 # How often a closing front end looks for connections that it can close.
@@ -27,6 +28,7 @@
 
     def __init__(self, node: Node) -> None:
         """Use the node's dispatcher parts and upstream transport."""
+        self._node = node
         self.settings = node.settings
         self.clock: Clock = node.clock
         self.dispatcher = Dispatcher(node)
@@ -34,6 +36,11 @@
             Extension.UPSTREAM_TRANSPORT,
             'http',
         )
+        self.dialect: Dialect = node.part(
+            Extension.DIALECT,
+            node.settings.dialect,
+        )
+        node.events.subscribe(TablesAccepted, self._on_tables)
         self.is_draining = False
         self.malformed_count = 0
         self._connections: set[CallerConnection] = set()
@@ -114,6 +121,12 @@
         """Count a request that was refused as malformed."""
         self.malformed_count += 1
 
+    def _on_tables(self, event: TablesAccepted) -> None:
+        """Apply the limits that the tables set to all connections."""
+        limits = asdict(event.tables.caller_limits)
+        known = {name: limit for name, limit in limits.items() if limit}
+        self.settings = replace(self._node.settings, **known)
+
     def _close_step(self) -> None:
         now_ms = self.clock.now_ms()
         for connection in tuple(self._connections):
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_writing.py
@@ -2,14 +2,11 @@
 
 from typing import Any
 
-from figdoor_gateway.headers import INNER_OUTCOME, OUTCOME, OWN_PREFIX
-from figdoor_gateway.protocols import AnswerHead, Headers
+from figdoor_gateway.protocols import AnswerHead, Dialect
 from figdoor_gateway.sockets import write_now
-from figdoor_kernel import Outcome
 
 _END_OF_LINE = b'\r\n'
 _LAST_CHUNK = b'0\r\n\r\n'
-_OWN_OUTCOME = b'%b: %b' % (OUTCOME, Outcome.ANSWERED.value.encode())
 
 
 class AnswerWriter:
@@ -25,11 +22,13 @@
         keep_alive: bool,
         http10: bool,
         head: AnswerHead,
+        dialect: Dialect,
     ) -> None:
         """Take the head; it leaves with the first part of the body."""
         self.keep_alive = keep_alive
         self._transport = transport
         self._head = head
+        self._dialect = dialect
         self._chunked = head.body_length is None
         self._held: bytearray | None = None
         self._parts: list[bytes] = []
@@ -71,25 +70,11 @@
     def _render_head(self, framing: bytes | None) -> bytes:
         head = self._head
         lines = [b'HTTP/1.1 %d %b' % (head.status, head.reason)]
-        lines.extend(_passed_on(head.headers))
-        lines.append(_OWN_OUTCOME)
+        passed_on = self._dialect.answer_headers(head.headers)
+        lines.extend(b'%b: %b' % pair for pair in passed_on)
         if framing is not None:
             lines.append(framing)
         if not self.keep_alive:
             lines.append(b'connection: close')
         lines.append(_END_OF_LINE)
         return _END_OF_LINE.join(lines)
-
-
-def _passed_on(headers: Headers) -> list[bytes]:
-    """Return the header lines, with a deeper level's outcome renamed.
-
-    Other marks of figdoor are meant for this node and not for the caller.
-    """
-    lines = []
-    for name, text in headers:
-        if not name.startswith(OWN_PREFIX):
-            lines.append(b'%b: %b' % (name, text))
-        elif name in {OUTCOME, INNER_OUTCOME}:
-            lines.append(b'%b: %b' % (INNER_OUTCOME, text))
-    return lines
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/__init__.py
@@ -1,5 +1,6 @@
 """Header names and rules that callers' and upstreams' sides share."""
 
+from figdoor_gateway.headers._dialect import FigdoorDialect
 from figdoor_gateway.headers._headers import (
     ATTEMPT,
     DEADLINE,
@@ -12,8 +13,11 @@
     end_to_end,
     read_load_report,
 )
+from figdoor_kernel import Extension, Node, Registry
 
 __all__ = (
+    'FigdoorDialect',
+    'register',
     'ATTEMPT',
     'DEADLINE',
     'INNER_OUTCOME',
@@ -25,3 +29,12 @@
     'end_to_end',
     'read_load_report',
 )
+
+
+def register(registry: Registry) -> None:
+    """Provide figdoor's own dialect."""
+    registry.provide(Extension.DIALECT, 'figdoor', _make_dialect)
+
+
+def _make_dialect(node: Node) -> FigdoorDialect:
+    return FigdoorDialect()
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_readiness.py
@@ -5,6 +5,7 @@
     Node,
     NodeState,
     NodeStateChanged,
+    ReadinessRule,
     Service,
     Tick,
 )
@@ -17,7 +18,9 @@
         """Follow the clock."""
         self._node = node
         self._acceptance = node.part(Extension.SERVICE, 'acceptance')
-        self._lease = node.part(Extension.SERVICE, 'config-lease')
+        self._rules: tuple[ReadinessRule, ...] = node.parts(
+            Extension.READINESS_RULE,
+        )
         self.state = NodeState.STARTING
         node.events.subscribe(Tick, self._on_tick)
 
@@ -34,9 +37,8 @@
             return ('stopping',)
         if tables is None:
             return (f'starting: waits for {self._missing(now_ms)}',)
-        found = []
-        if not self._lease.holds(now_ms):
-            found.append('tables not confirmed lately')
+        reasons = (rule.unready_reason(now_ms) for rule in self._rules)
+        found = [reason for reason in reasons if reason is not None]
         bound = tables.fleet_availability_zones
         zone = self._node.availability_zone
         if bound is not None and zone not in bound:
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
@@ -67,6 +67,9 @@
             self._upstreams.labels(*labels).set(count)
 
     def _confirmed_age_s(self) -> float:
+        services = self._node.registry.names(Extension.SERVICE)
+        if 'config-lease' not in services:
+            return -1
         confirmed_at_ms = self._service('config-lease').confirmed_at_ms
         if confirmed_at_ms is None:
             return -1
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
@@ -1,5 +1,6 @@
 """Reads the platform: configuration service and VM list."""
 
+from figdoor_gateway.platform._client import PlatformClient, PlatformError
 from figdoor_gateway.platform._config_source import HttpConfigSource
 from figdoor_gateway.platform._vm_list_source import (
     HttpVmListSource,
@@ -7,7 +8,14 @@
 )
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('HttpConfigSource', 'HttpVmListSource', 'read_vm_list', 'register')
+__all__ = (
+    'HttpConfigSource',
+    'HttpVmListSource',
+    'PlatformClient',
+    'PlatformError',
+    'read_vm_list',
+    'register',
+)
 
 
 def register(registry: Registry) -> None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -20,7 +20,15 @@
 
 
 class PlatformError(FigdoorError):
-    """The platform answered, but not with a value."""
+    """The platform answered, but not with a value.
+
+    ``status`` is that of the answer, 0 where its body was at fault.
+    """
+
+    def __init__(self, message: str, status: int = 0) -> None:
+        """Keep the status."""
+        super().__init__(message)
+        self.status = status
 
 
 class MethodRefusedError(PlatformError):
@@ -93,7 +101,8 @@
         if response.code in _NOTHING_NEWER:
             return None
         if response.code != _OK:
-            raise PlatformError(f'{path} answered {response.code}')
+            message = f'{path} answered {response.code}'
+            raise PlatformError(message, response.code)
         found = json.loads(text)
         self._remember_etag(path, response)
         return found
--- a/packages/figdoor-gateway/src/figdoor_gateway/probing/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/probing/__init__.py
@@ -1,11 +1,17 @@
 """Sends the probes that the measuring policy asks for."""
 
+from figdoor_gateway.probing._health_probes import HealthProbes
 from figdoor_gateway.probing._load_probes import LoadProbes
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('LoadProbes', 'register')
+__all__ = ('LoadProbes', 'HealthProbes', 'register', 'register_health_probes')
 
 
 def register(registry: Registry) -> None:
     """Provide the sender of probes."""
     registry.provide(Extension.SERVICE, 'load-probes', LoadProbes)
+
+
+def register_health_probes(registry: Registry) -> None:
+    """Provide the sender of probes over the connections of requests."""
+    registry.provide(Extension.SERVICE, 'health-probes', HealthProbes)
--- a/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -3,11 +3,13 @@
 Both sides speak in these terms, so that either can be replaced alone.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum, unique
+from math import inf
 from typing import Protocol
 
-from figdoor_kernel import LoadReport, Upstream
+from figdoor_kernel import Finish, LoadReport, Send, Upstream
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -31,7 +33,8 @@
 
     ``body`` holds the part that has arrived; ``body_complete`` says whether
     that is all. ``body_length`` is ``None`` for a body of unknown length.
-    ``body_source`` is set where more of the body may come.
+    ``body_source`` is set where more of the body may come. A kept connection
+    may carry it if it was used within ``max_idle_ms``.
     """
 
     method: bytes
@@ -41,6 +44,7 @@
     body_complete: bool
     body_length: int | None
     body_source: BodySource | None = None
+    max_idle_ms: float = inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +63,97 @@
     report: LoadReport | None
 
 
+@unique
+class AnswerKind(Enum):
+    """What the head of an upstream's answer says about the request."""
+
+    ANSWER = 'answer'
+    SHED = 'shed'
+    # It belongs to an earlier request of the connection.
+    STRAY = 'stray'
+    # It is no answer that a caller may get; the request may have run.
+    INVALID = 'invalid'
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What a dialect reads in the head of an answer."""
+
+    kind: AnswerKind
+    report: LoadReport | None = None
+    inner_outcome: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OwnAnswer:
+    """What a caller is told by the node itself."""
+
+    status: int
+    reason: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    text: bytes
+
+
+class Dialect(Protocol):
+    """The headers and statuses agreed on with callers and upstreams.
+
+    Header names are in lower case on both sides.
+    """
+
+    # Whether the close of a connection may end a body of unknown length.
+    closing_ends_body: bool
+
+    def request_id(self, headers: Headers) -> str:
+        """Return the caller's own id of the request, empty for none."""
+
+    def time_left_ms(self, headers: Headers) -> float | None:
+        """Return how long the caller waits, ``None`` where it did not say."""
+
+    def request_headers(
+        self,
+        headers: Headers,
+        step: Send,
+        left_ms: int,
+    ) -> list[tuple[bytes, bytes]]:
+        """Return the end-to-end headers for one attempt.
+
+        ``left_ms`` is the time that is left for it.
+        """
+
+    def answer_facts(
+        self,
+        status: int,
+        headers: Mapping[bytes, bytes],
+        request: Headers,
+    ) -> AnswerFacts:
+        """Read the head of an answer to a request with these headers."""
+
+    def answer_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        """Return the headers of an answer as the caller gets them."""
+
+    def own_answer(
+        self,
+        finish: Finish,
+        late: bool,
+        request: Headers,
+    ) -> OwnAnswer:
+        """Return how to tell an outcome other than answered.
+
+        ``late`` says that the deadline passed before the outcome was known.
+        """
+
+    def probe(self, path: str) -> 'OutboundRequest':
+        """Return the request that asks an upstream for its load."""
+
+    def probe_report(
+        self,
+        upstream: Upstream,
+        status: int,
+        headers: Headers,
+    ) -> LoadReport | None:
+        """Return the report in a probe's answer, ``None`` where it failed."""
+
+
 class AnswerReceiver(Protocol):
     """Hears what becomes of one attempt.
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from figdoor_gateway.logs import LOG_FORMATS
+from figdoor_kernel import Deployment
 
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 MAX_PORT = 65_535
@@ -137,6 +138,62 @@
     ),
     Option('platform_url', '', read_url, 'base address of the platform'),
     Option('chooser', 'adaptive', read_name, 'policy that picks upstreams'),
+    Option(
+        'dialect',
+        'figdoor',
+        read_name,
+        'headers and statuses agreed on with callers and upstreams',
+    ),
+    Option(
+        'deployment',
+        'vm_list',
+        ChoiceReader(tuple(one.value for one in Deployment)),
+        'how the platform publishes tables and upstreams',
+    ),
+    Option(
+        'kept_connection_ms',
+        '60000',
+        _MILLISECONDS,
+        'idle time up to which a kept connection may carry a request that '
+        'is not idempotent',
+    ),
+    Option(
+        'stop_limit_ms',
+        '0',
+        _MILLISECONDS,
+        'time from the signal to stop until what still runs is cut; 0 for '
+        'the longest deadline',
+    ),
+    Option(
+        'fleet_nodes',
+        '32',
+        NumberReader(1, 10_000),
+        'nodes among which shared budgets are divided while fewer are known',
+    ),
+    Option(
+        'retry_budget_percent',
+        '20',
+        NumberReader(0, 100),
+        'retries that a service bears, in percent of its requests',
+    ),
+    Option(
+        'retry_budget_burst',
+        '60',
+        NumberReader(0, 100_000),
+        'retries that a service bears from the whole fleet besides those',
+    ),
+    Option(
+        'retry_budget_window_ms',
+        '10000',
+        NumberReader(100, 600_000),
+        'time over which retries and requests are counted',
+    ),
+    Option(
+        'cold_excess_percent',
+        '0',
+        NumberReader(0, 1000),
+        'what an upstream in a cold start bears above its rate',
+    ),
     Option(
         'log_format',
         'text',
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -22,6 +22,15 @@
     peer_listen: Address
     platform_url: str
     chooser: str
+    dialect: str
+    deployment: str
+    kept_connection_ms: float
+    stop_limit_ms: float
+    fleet_nodes: float
+    retry_budget_percent: float
+    retry_budget_burst: float
+    retry_budget_window_ms: float
+    cold_excess_percent: float
     log_format: str
     log_level: str
     stop_grace_ms: float
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_answer.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_answer.py
@@ -2,20 +2,17 @@
 
 from collections.abc import Iterable
 
-from figdoor_gateway.headers import (
-    INNER_OUTCOME,
-    LOAD,
-    OUTCOME,
-    SHED,
-    end_to_end,
-    read_load_report,
+from figdoor_gateway.headers import end_to_end
+from figdoor_gateway.protocols import (
+    AnswerHead,
+    AnswerKind,
+    Dialect,
+    Headers,
 )
-from figdoor_gateway.protocols import AnswerHead
 
 MAX_HEADERS = 128
 _BODILESS_STATUSES = frozenset((204, 304))
 _NO_CONTENT = 204
-_SHED_STATUS = 503
 _LENGTH = b'content-length'
 
 
@@ -26,9 +23,19 @@
 class Answer:
     """What has been parsed of one answer."""
 
-    def __init__(self, is_head: bool, max_header_bytes: float) -> None:
-        """Start before the status line."""
+    def __init__(
+        self,
+        is_head: bool,
+        max_header_bytes: float,
+        dialect: Dialect,
+        request: Headers = (),
+    ) -> None:
+        """Start before the status line; ``request`` are the headers sent."""
         self.is_head = is_head
+        self.is_stray = False
+        self._has_no_length = False
+        self._dialect = dialect
+        self._request = request
         self.status = 0
         self.reason = b''
         self.headers: list[tuple[bytes, bytes]] = []
@@ -38,6 +45,13 @@
         self._max_header_bytes = max_header_bytes
         self._header_bytes = 0
 
+    @property
+    def ends_by_close(self) -> bool:
+        """Whether a clean close is the end of the answer; a reset never is."""
+        if self.is_stray or not self.head_seen:
+            return False
+        return self._has_no_length
+
     def add_header(self, name: bytes, text: bytes) -> None:
         """Take a header; trailers are counted and dropped."""
         self._header_bytes += len(name) + len(text)
@@ -53,20 +67,27 @@
         """Return the head; the length tells where the body ends."""
         named = dict(self.headers)
         length = self._length(named)
-        report = named.get(LOAD)
-        inner = OUTCOME in named or INNER_OUTCOME in named
+        facts = self._dialect.answer_facts(self.status, named, self._request)
+        if facts.kind is AnswerKind.INVALID:
+            raise BadAnswerError
+        self.is_stray = facts.kind is AnswerKind.STRAY
         return AnswerHead(
             self.status,
             self.reason,
             list(self._passed_on()),
             length,
-            # A deeper level's answer may carry on a mark that was not meant
-            # for this level, and then proves nothing.
-            self.status == _SHED_STATUS
-            and named.get(SHED) == b'1'
-            and not inner,
-            inner,
-            read_load_report(report) if report else None,
+            facts.kind is AnswerKind.SHED,
+            facts.inner_outcome,
+            facts.report,
+        )
+
+    def next_answer(self) -> 'Answer':
+        """Return the state before the next answer to the same request."""
+        return Answer(
+            self.is_head,
+            self._max_header_bytes,
+            self._dialect,
+            self._request,
         )
 
     def _passed_on(self) -> Iterable[tuple[bytes, bytes]]:
@@ -85,6 +106,8 @@
             return None
         length = named.get(_LENGTH)
         if length is None:
-            # The end of such a body cannot be told from a cut.
-            raise BadAnswerError
+            if not self._dialect.closing_ends_body:
+                raise BadAnswerError
+            self._has_no_length = True
+            return None
         return int(length)
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -4,10 +4,15 @@
 from typing import Any
 
 import httptools
+from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from figdoor_gateway.protocols import AnswerReceiver, OutboundRequest
+from figdoor_gateway.protocols import (
+    AnswerReceiver,
+    Dialect,
+    OutboundRequest,
+)
 from figdoor_gateway.sockets import write_now
 from figdoor_gateway.upstreams._answer import Answer, BadAnswerError
 from figdoor_gateway.upstreams._rendering import (
@@ -38,16 +43,19 @@
         on_free: Callable[['UpstreamConnection'], None],
         on_closed: Callable[['UpstreamConnection'], None],
         max_header_bytes: float,
+        dialect: Dialect,
     ) -> None:
         """Start without a request."""
         self.transport: Any = None
+        self.idle_since_ms: float = 0
+        self._dialect = dialect
         self.is_usable = False
         self._on_free = on_free
         self._on_closed = on_closed
         self._max_header_bytes = max_header_bytes
         self._receiver: AnswerReceiver | None = None
         self._parser: Any = None
-        self._answer = Answer(is_head=False, max_header_bytes=max_header_bytes)
+        self._answer = Answer(False, max_header_bytes, dialect)
         self._body_open = False
         self._chunked = False
         self._paused = False
@@ -70,6 +78,8 @@
         self._answer = Answer(
             request.method == b'HEAD',
             self._max_header_bytes,
+            self._dialect,
+            request.headers,
         )
         self._chunked = request.body_length is None
         self._body_open = not request.body_complete
@@ -151,7 +161,10 @@
         self._body_open = False
         receiver = self._receiver
         self._receiver = None
-        if receiver is not None:
+        is_clean = bool(reason.check(ConnectionDone))
+        if receiver is not None and is_clean and self._answer.ends_by_close:
+            receiver.complete()
+        elif receiver is not None:
             receiver.lost(connection_died=True)
         self._on_closed(self)
 
@@ -180,6 +193,8 @@
         answer.head_seen = True
         # The parser forgets it at the end of the message.
         answer.keeps_open = self._parser.should_keep_alive()
+        if answer.is_stray:
+            return
         if self._receiver is not None:
             self._receiver.head(head)
         if answer.is_head:
@@ -187,20 +202,19 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body on."""
+        if self._answer.is_stray:
+            return
         if self._answer.is_over or not self._answer.head_seen:
             raise BadAnswerError
         if self._receiver is not None:
             self._receiver.body(data)
 
     def on_message_complete(self) -> None:
-        """Note the end, or start over after an interim answer."""
-        if self._answer.head_seen:
+        """Note the end, or start over after an interim or stray answer."""
+        if self._answer.head_seen and not self._answer.is_stray:
             self._answer.is_over = True
         else:
-            self._answer = Answer(
-                self._answer.is_head,
-                self._max_header_bytes,
-            )
+            self._answer = self._answer.next_answer()
 
     def _head_fits(self, more_bytes: int) -> bool:
         """Count what came before the head; the parser holds it until then."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_pool.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_pool.py
@@ -13,9 +13,11 @@
 from twisted.python.failure import Failure
 
 from figdoor_gateway import loop
+from figdoor_gateway.protocols import Dialect
 from figdoor_gateway.settings import Settings
 from figdoor_gateway.upstreams._connection import UpstreamConnection
 from figdoor_gateway.upstreams._sending import HttpSending
+from figdoor_kernel import Clock
 
 
 class UpstreamPool:
@@ -30,9 +32,13 @@
         address: tuple[str, int],
         settings: Settings,
         on_last_closed: Callable[[], None],
+        dialect: Dialect,
+        clock: Clock,
     ) -> None:
         """Start without connections."""
         self.address = address
+        self._dialect = dialect
+        self._clock = clock
         self._settings = settings
         self._on_last_closed = on_last_closed
         self._idle: deque[UpstreamConnection] = deque()
@@ -45,9 +51,10 @@
         """How many connections are open or being opened."""
         return len(self._open) + self._opening
 
-    def take(self) -> UpstreamConnection | None:
-        """Return an idle connection that is fit for use."""
-        while self._idle:
+    def take(self, max_idle_ms: float) -> UpstreamConnection | None:
+        """Return an idle connection that was used within ``max_idle_ms``."""
+        oldest_ms = self._clock.now_ms() - max_idle_ms
+        while self._idle and self._idle[-1].idle_since_ms >= oldest_ms:
             connection = self._idle.pop()
             if connection.is_usable:
                 return connection
@@ -56,6 +63,7 @@
     def keep(self, connection: UpstreamConnection) -> None:
         """Keep a connection for later, unless there are too many."""
         if connection.is_usable:
+            connection.idle_since_ms = self._clock.now_ms()
             self._idle.append(connection)
             if self._limit is not None and len(self._open) > self._limit:
                 self.trim(self._limit)
@@ -74,6 +82,7 @@
             self.keep,
             self._on_closed,
             self._settings.max_header_bytes,
+            self._dialect,
         )
         self._opening += 1
         connecting = connectProtocol(endpoint, connection)
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_transport.py
@@ -3,7 +3,11 @@
 from functools import partial
 
 from figdoor_decisions.limits import ConnectionLimits
-from figdoor_gateway.protocols import AnswerReceiver, OutboundRequest
+from figdoor_gateway.protocols import (
+    AnswerReceiver,
+    Dialect,
+    OutboundRequest,
+)
 from figdoor_gateway.upstreams._pool import UpstreamPool
 from figdoor_gateway.upstreams._sending import HttpSending
 from figdoor_kernel import (
@@ -28,6 +32,10 @@
             Extension.SERVICE,
             'connection-limits',
         )
+        self._dialect: Dialect = node.part(
+            Extension.DIALECT,
+            node.settings.dialect,
+        )
         node.events.subscribe(TablesAccepted, self._on_change)
         node.events.subscribe(VmListChanged, self._on_change)
 
@@ -40,7 +48,7 @@
         """Send over an idle connection, or open one within the limit."""
         pool = self._pool_of(upstream)
         sending = HttpSending(request, receiver, pool.keep)
-        connection = pool.take()
+        connection = pool.take(request.max_idle_ms)
         if connection is not None:
             sending.use(connection)
         elif pool.open_count < self._limits.limit(upstream):
@@ -66,6 +74,8 @@
             address,
             self._node.settings,
             partial(self._on_last_closed, upstream.upstream_id),
+            self._dialect,
+            self._node.clock,
         )
         self._pools[upstream.upstream_id] = pool
         return pool
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -32,6 +32,8 @@
     CallOpened,
     CallWaiting,
     ConnectionsClosed,
+    ItemsChanged,
+    ItemsRead,
     NewsReceived,
     NewsWanted,
     NodeStateChanged,
@@ -46,8 +48,10 @@
     TablesAccepted,
     TablesHeld,
     TablesOffered,
+    TablesRead,
     TablesRefused,
     Tick,
+    UpstreamsRead,
     UpstreamStateChanged,
     VmListChanged,
 )
@@ -101,18 +105,24 @@
     CandidateRule,
     Chooser,
     Clock,
+    LoadSurvey,
     PermitSource,
+    ReadinessRule,
+    RetryAdvice,
     RetryRule,
     Router,
     Service,
 )
+from figdoor_kernel._published import PublishedItem
 from figdoor_kernel._registry import (
     PLUGIN_GROUP,
+    Deployment,
     Extension,
     Factory,
     Registry,
     load_plugins,
 )
+from figdoor_kernel._splitting import Splitter
 from figdoor_kernel._states import (
     ALLOW,
     ASK,
@@ -134,6 +144,7 @@
 )
 from figdoor_kernel._tables import (
     ANY,
+    CallerLimits,
     Pool,
     Route,
     Tables,
@@ -145,6 +156,17 @@
 )
 
 __all__ = (
+    'RetryAdvice',
+    'UpstreamsRead',
+    'ItemsChanged',
+    'ItemsRead',
+    'PublishedItem',
+    'Splitter',
+    'CallerLimits',
+    'TablesRead',
+    'Deployment',
+    'ReadinessRule',
+    'LoadSurvey',
     'ALLOW',
     'ASK',
     'DENY',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -18,14 +18,18 @@
     AdmissionRule,
     CandidateRule,
     Chooser,
+    LoadSurvey,
     PermitSource,
+    RetryAdvice,
     RetryRule,
     Router,
 )
 from figdoor_kernel._registry import Extension
+from figdoor_kernel._splitting import Splitter
 from figdoor_kernel._states import (
     ALLOW,
     DENY,
+    Outcome,
     Refusal,
     Verdict,
 )
@@ -57,7 +61,14 @@
         self.retry_rules: tuple[RetryRule, ...] = node.parts(
             Extension.RETRY_RULE,
         )
+        self.load_surveys: tuple[LoadSurvey, ...] = node.parts(
+            Extension.LOAD_SURVEY,
+        )
+        self.retry_advice: tuple[RetryAdvice, ...] = node.parts(
+            Extension.RETRY_ADVICE,
+        )
         self.attempt_ids = count(1)
+        self._splitter = Splitter()
 
     def open(
         self,
@@ -104,6 +115,20 @@
                 return refusal
         return None
 
+    def retry_after_ms(
+        self,
+        outcome: Outcome,
+        refusal: Refusal | None,
+        routed: RoutedCall | None,
+        now_ms: float,
+    ) -> float | None:
+        """Return when a call that was not run may be tried again."""
+        if outcome is not Outcome.NOT_RUN or not self.retry_advice:
+            return None
+        reason = refusal or Refusal.NO_UPSTREAM
+        advice = self.retry_advice[0]
+        return advice.retry_after_ms(reason, routed, now_ms)
+
     def _route(self, call: Call, now_ms: float) -> RoutedCall | None:
         tables = self.node.tables
         route = self.router.find(call)
@@ -115,9 +140,10 @@
         return RoutedCall(
             call,
             route,
-            tables.pools[route.pool],
+            tables.pools[self._splitter.pick(route)],
             _tenant_of(route, call),
             now_ms + time_left_ms,
+            now_ms,
         )
 
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -11,6 +11,7 @@
 from figdoor_kernel._findings import Finding
 from figdoor_kernel._ids import NodeId, Revision, UpstreamId
 from figdoor_kernel._messages import News, PeerMessage
+from figdoor_kernel._published import PublishedItem
 from figdoor_kernel._states import (
     AttemptState,
     NodeState,
@@ -19,7 +20,7 @@
     UpstreamState,
 )
 from figdoor_kernel._tables import Tables
-from figdoor_kernel._vms import VmList
+from figdoor_kernel._vms import Vm, VmList
 
 # A timer of the loop can fire this much before its time.
 _TIMER_ERROR_MS = 1.0
@@ -169,6 +170,38 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ItemsRead:
+    """Published items arrived, from the store or from a peer.
+
+    Nothing that changed up to ``as_of`` is missing. ``is_whole`` says that
+    ``items`` are all that exist; otherwise they are what changed after the
+    revision known before.
+    """
+
+    items: tuple[PublishedItem, ...]
+    as_of: Revision
+    is_whole: bool
+    from_store: bool
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ItemsChanged:
+    """What this node knows of the published items changed."""
+
+    changed: tuple[PublishedItem, ...]
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class TablesRead:
+    """Tables were read whole from what the platform publishes."""
+
+    tables: Tables
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class TablesHeld:
     """A newer pair of tables was read; it is not yet in force."""
@@ -210,6 +243,14 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsRead:
+    """The upstreams were read from the published items."""
+
+    vms: tuple[Vm, ...]
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class VmListChanged:
     """The VM list was read; it may be the same as before."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -61,6 +61,7 @@
         self._finish: Finish | None = None
         self._may_have_run = False
         self._is_waiting = False
+        self._was_surveyed = False
 
     def next_step(self, now_ms: float) -> Step:
         """Return what to do now; call it again after each ended attempt."""
@@ -197,10 +198,46 @@
                 allowed.append(upstream)
             elif verdict is ASK:
                 askable.append(upstream)
-        if allowed:
-            chosen = dispatcher.chooser.choose(allowed, routed, now_ms)
-            return self._start(chosen, routed, now_ms)
-        return self._ask(askable, routed, now_ms)
+        if not allowed:
+            return self._ask(askable, routed, now_ms)
+        until_ms = self._survey(allowed, routed, now_ms)
+        if until_ms > now_ms:
+            self._is_waiting = True
+            return Wait(until_ms)
+        chosen = dispatcher.chooser.choose(allowed, routed, now_ms)
+        self._was_surveyed = False
+        if chosen is None:
+            return self._wait_for_room(routed, now_ms)
+        return self._start(chosen, routed, now_ms)
+
+    def _survey(
+        self,
+        allowed: list[Upstream],
+        routed: RoutedCall,
+        now_ms: float,
+    ) -> float:
+        """Return until when to wait for news of the candidates."""
+        if self._was_surveyed:
+            return now_ms
+        self._was_surveyed = True
+        return max(
+            (
+                survey.begin(allowed, routed, self._on_permit, now_ms)
+                for survey in self._dispatcher.load_surveys
+            ),
+            default=now_ms,
+        )
+
+    def _wait_for_room(self, routed: RoutedCall, now_ms: float) -> Step:
+        """Ask again later, or refuse where waiting longer is no use."""
+        resumes_ms = [
+            survey.resume_ms(routed, now_ms)
+            for survey in self._dispatcher.load_surveys
+        ]
+        times_ms = [known for known in resumes_ms if known is not None]
+        if len(times_ms) < len(resumes_ms) or not times_ms:
+            return self._close(Outcome.NOT_RUN, Refusal.OVERLOAD, now_ms)
+        return Wait(min(*times_ms, routed.deadline_ms))
 
     def _ask(
         self,
@@ -224,6 +261,8 @@
             waiting = CallWaiting(routed, tuple(asked), until_ms, now_ms)
             self._events.publish(waiting)
             return Wait(until_ms)
+        if self._dispatcher.load_surveys:
+            return self._wait_for_room(routed, now_ms)
         return self._close(Outcome.NOT_RUN, Refusal.NO_UPSTREAM, now_ms)
 
     def _on_permit(self) -> None:
@@ -268,7 +307,16 @@
             # An earlier attempt was lost, so the last one alone proves
             # nothing.
             outcome = Outcome.UNKNOWN
-        self._finish = Finish(outcome, refusal)
+        self._finish = Finish(
+            outcome,
+            refusal,
+            self._dispatcher.retry_after_ms(
+                outcome,
+                refusal,
+                self.routed,
+                now_ms,
+            ),
+        )
         # Nothing can wake a closed exchange. Without the reference back to
         # its caller it is freed at once and not by the garbage collector.
         self._wake = _no_wake
--- a/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_fleet.py
@@ -14,6 +14,7 @@
 )
 from figdoor_kernel._ids import (
     AvailabilityZoneName,
+    InstanceId,
     ServiceName,
     UpstreamId,
 )
@@ -35,6 +36,9 @@
     host: str
     port: int
     vm_state: VmState
+    instance: InstanceId = InstanceId('')
+    slots: int = 0
+    warm_at_ms: float = 0
     in_flight: int = 0
     report: LoadReport | None = None
     report_at_ms: float = 0
@@ -86,7 +90,7 @@
                 self._keep(vm, known.get(UpstreamId(vm.vm_id)))
 
     def _keep(self, vm: Vm, known: Upstream | None) -> None:
-        if known is None or (known.host, known.port) != (vm.host, vm.port):
+        if known is None or not _is_same_start(known, vm):
             known = Upstream(
                 UpstreamId(vm.vm_id),
                 vm.service,
@@ -94,8 +98,11 @@
                 vm.host,
                 vm.port,
                 vm.state,
+                vm.instance,
             )
         known.vm_state = vm.state
+        known.slots = vm.slots
+        known.warm_at_ms = vm.warm_at_ms
         self._by_id[known.upstream_id] = known
         self._by_service.setdefault(vm.service, []).append(known)
 
@@ -114,3 +121,8 @@
         if upstream is not None:
             upstream.report = event.report
             upstream.report_at_ms = event.now_ms
+
+
+def _is_same_start(known: Upstream, vm: Vm) -> bool:
+    address = (known.host, known.port)
+    return address == (vm.host, vm.port) and known.instance == vm.instance
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -26,6 +26,12 @@
     config_reads_per_s: float = 200
     quarantine_ms: float = 60_000
     evidence_ms: float = 30_000
+    fleet_nodes: int = 32
+    retry_budget_percent: float = 20
+    retry_budget_burst: float = 60
+    retry_budget_window_ms: float = 10_000
+    cold_excess_percent: float = 0
+    stop_limit_ms: float = 0
 
 
 @dataclass(slots=True)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
@@ -91,8 +91,52 @@
         candidates: Sequence[Upstream],
         routed: RoutedCall,
         now_ms: float,
-    ) -> Upstream:
-        """Return one of ``candidates``, which is never empty."""
+    ) -> Upstream | None:
+        """Return one of ``candidates``, which is never empty.
+
+        ``None`` says that none of them is worth sending to now.
+        """
+
+
+class LoadSurvey(Protocol):
+    """Gathers news of some candidates before one of them is chosen."""
+
+    def begin(
+        self,
+        candidates: Sequence[Upstream],
+        routed: RoutedCall,
+        wake: Callable[[], None],
+        now_ms: float,
+    ) -> float:
+        """Return until when to wait for the news; ``now_ms`` for not at all.
+
+        ``wake`` is called once enough is known.
+        """
+
+    def resume_ms(self, routed: RoutedCall, now_ms: float) -> float | None:
+        """Return when to ask again after the chooser took no candidate.
+
+        ``None`` says that the call is to be refused now.
+        """
+
+
+class RetryAdvice(Protocol):
+    """Says when a refused call may be tried again."""
+
+    def retry_after_ms(
+        self,
+        refusal: Refusal,
+        routed: RoutedCall | None,
+        now_ms: float,
+    ) -> float:
+        """Return the time to wait, in milliseconds."""
+
+
+class ReadinessRule(Protocol):
+    """Knows reasons why callers should not be sent to this node."""
+
+    def unready_reason(self, now_ms: float) -> str | None:
+        """Return why the node is not ready, or ``None``."""
 
 
 class RetryRule(Protocol):
--- a/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
@@ -20,6 +20,18 @@
 PLUGIN_GROUP = 'figdoor.plugins'
 
 
+@unique
+class Deployment(Enum):
+    """How the platform publishes tables and upstreams.
+
+    The value is the last part of the name of the entry point group whose
+    plug-ins are used only there.
+    """
+
+    VM_LIST = 'vm_list'
+    STORE = 'store'
+
+
 @unique
 class Extension(Enum):
     """The kinds of parts that a plug-in can provide."""
@@ -37,6 +49,10 @@
     VM_LIST_SOURCE = 'vm-list-source'
     PEER_TRANSPORT = 'peer-transport'
     OPERATOR_PAGE = 'operator-page'
+    LOAD_SURVEY = 'load-survey'
+    RETRY_ADVICE = 'retry-advice'
+    READINESS_RULE = 'readiness-rule'
+    DIALECT = 'dialect'
 
 
 Factory = Callable[['Node'], Any]
@@ -80,15 +96,22 @@
         return named[name]
 
 
-def load_plugins(module_prefix: str = '') -> Registry:
+def load_plugins(
+    module_prefix: str = '',
+    deployment: Deployment = Deployment.VM_LIST,
+) -> Registry:
     """Return a registry in which all installed plug-ins have registered.
 
     Entry points are taken in the order of their names, so that two runs on
     the same installation build the same node. Only those are loaded whose
-    module starts with ``module_prefix``.
+    module starts with ``module_prefix``, from the group of all deployments
+    and that of the given one.
     """
     registry = Registry()
-    points = entry_points(group=PLUGIN_GROUP)
+    points = (
+        *entry_points(group=PLUGIN_GROUP),
+        *entry_points(group=f'{PLUGIN_GROUP}.{deployment.value}'),
+    )
     for point in sorted(points, key=lambda found: found.name):
         if not point.value.startswith(module_prefix):
             continue
--- a/packages/figdoor-kernel/src/figdoor_kernel/_states.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_states.py
@@ -23,6 +23,7 @@
     DEADLINE = 'deadline'
     TENANT_SHARE = 'tenant-share'
     QUARANTINED = 'quarantined'
+    OVERLOAD = 'overload'
 
 
 @unique
--- a/packages/figdoor-kernel/src/figdoor_kernel/_steps.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_steps.py
@@ -24,10 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Finish:
-    """Tell the caller this outcome; nothing more will be tried."""
+    """Tell the caller this outcome; nothing more will be tried.
+
+    ``retry_after_ms`` is when a call that was not run may succeed, where the
+    deciding part knows.
+    """
 
     outcome: Outcome
     refusal: Refusal | None = None
+    retry_after_ms: float | None = None
 
 
 Step = Send | Wait | Finish
--- a/packages/figdoor-kernel/src/figdoor_kernel/_vms.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_vms.py
@@ -2,7 +2,12 @@
 
 from dataclasses import dataclass
 
-from figdoor_kernel._ids import AvailabilityZoneName, ServiceName, VmId
+from figdoor_kernel._ids import (
+    AvailabilityZoneName,
+    InstanceId,
+    ServiceName,
+    VmId,
+)
 from figdoor_kernel._states import VmState
 
 FIGDOOR_SERVICE = ServiceName('figdoor')
@@ -10,7 +15,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Vm:
-    """One VM: a worker of a service, or a node of figdoor itself."""
+    """One VM: a worker of a service, or a node of figdoor itself.
+
+    ``instance`` names its present start, where the platform tells it, and
+    ``slots`` the requests that it runs at once. It is in a cold start until
+    ``warm_at_ms`` on the node's clock.
+    """
 
     vm_id: VmId
     service: ServiceName
@@ -18,6 +28,9 @@
     host: str
     port: int
     state: VmState = VmState.LIVE
+    instance: InstanceId = InstanceId('')
+    slots: int = 0
+    warm_at_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figdoor-traces/src/figdoor_traces/_guidance.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_guidance.py
@@ -48,7 +48,7 @@
         candidates: Sequence[Upstream],
         routed: RoutedCall,
         now_ms: float,
-    ) -> Upstream:
+    ) -> Upstream | None:
         """Return the named candidate; the real chooser draws as it did."""
         chosen = self._real.choose(candidates, routed, now_ms)
         return self._guide.find(candidates) or chosen
--- a/tests/gateway/frontend/test_request.py
+++ b/tests/gateway/frontend/test_request.py
@@ -3,6 +3,7 @@
 import pytest
 
 from figdoor_gateway.frontend._request import CallerRequest
+from figdoor_gateway.headers import FigdoorDialect
 
 
 class TestCall:
@@ -16,12 +17,12 @@
     )
     def test_authority_has_no_port(self, host, authority):
         request = CallerRequest(b'GET', b'/', [(b'host', host)])
-        assert request.as_call().authority == authority
+        assert request.as_call(FigdoorDialect()).authority == authority
 
     def test_fingerprint_covers_method_target_and_body(self):
         prints = {
             CallerRequest(method, target, body=bytearray(body))
-            .as_call()
+            .as_call(FigdoorDialect())
             .fingerprint
             for method, target, body in (
                 (b'GET', b'/', b''),
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -3,6 +3,7 @@
 import pytest
 from wires import Receiver, Wire
 
+from figdoor_gateway.headers import FigdoorDialect
 from figdoor_gateway.protocols import OutboundRequest
 from figdoor_gateway.upstreams._connection import UpstreamConnection
 from figdoor_gateway.upstreams._sending import HttpSending
@@ -34,6 +35,7 @@
             self.freed.append,
             self.closed.append,
             1000,
+            FigdoorDialect(),
         )
         self.wire = Wire()
         self.connection.makeConnection(self.wire)
--- a/tests/gateway/upstreams/test_transport.py
+++ b/tests/gateway/upstreams/test_transport.py
@@ -13,7 +13,7 @@
 from twisted.internet.testing import MemoryReactorClock
 from wires import Receiver, Wire, make_settings
 
-from figdoor_gateway import loop
+from figdoor_gateway import headers, loop
 from figdoor_gateway.protocols import OutboundRequest
 from figdoor_gateway.upstreams import HttpUpstreamTransport
 from figdoor_kernel import ConnectionsClosed, Extension, UpstreamId
@@ -33,6 +33,7 @@
         monkeypatch.setattr(loop, 'reactor', self.reactor)
         self.node = make_node('n0', ManualClock(self.reactor))
         self.node.settings = make_settings()
+        headers.register(self.node.registry)
         self.set_nodes(nodes)
         give_tables(
             self.node,
--- a/tests/wires.py
+++ b/tests/wires.py
@@ -12,7 +12,7 @@
 )
 from twisted.internet.testing import StringTransport
 
-from figdoor_gateway import loop
+from figdoor_gateway import headers, loop
 from figdoor_gateway.frontend import HttpFrontEnd
 from figdoor_gateway.protocols import AnswerHead
 from figdoor_gateway.settings import read_settings
@@ -180,6 +180,7 @@
         monkeypatch.setattr(loop, 'reactor', self.clock.reactor)
         registry = io_free_registry(cold_starts=False)
         registry.provide(Extension.UPSTREAM_TRANSPORT, 'http', FakeUpstreams)
+        headers.register(registry)
         self.node = make_node(clock=self.clock, registry=registry)
         self.node.settings = make_settings(**settings)
         self.upstreams = self.node.part(Extension.UPSTREAM_TRANSPORT, 'http')
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -9,12 +9,14 @@
 from pathlib import Path
 
 from figdoor_gateway.clock import BootClock
-from figdoor_gateway.frontend._answers import render_error, render_outcome
+from figdoor_gateway.frontend._answers import render_error, render_own
+from figdoor_gateway.headers import FigdoorDialect
 from figdoor_gateway.metrics import Metrics
 from figdoor_gateway.peers._counters import PeerCounters
 from figdoor_gateway.settings import OPTIONS
 from figdoor_kernel import (
     AvailabilityZoneName,
+    Finish,
     Node,
     NodeId,
     Outcome,
@@ -39,6 +41,7 @@
     Refusal.NO_UPSTREAM: 'no upstream may get the request now',
     Refusal.DEADLINE: 'the time left was too short for an attempt',
     Refusal.TENANT_SHARE: 'the tenant uses more than its share of a busy pool',
+    Refusal.OVERLOAD: 'no upstream had room within the time worth waiting',
     Refusal.QUARANTINED: 'such requests killed the upstreams that ran them',
 }
 
@@ -158,7 +161,8 @@
 
 
 def _reason(outcome, refusal, late, meaning):
-    answer = render_outcome(outcome, refusal, late, True).decode()
+    own = FigdoorDialect().own_answer(Finish(outcome, refusal), late, ())
+    answer = render_own(own, True).decode()
     status = answer.split(' ')[1]
     reason = refusal.value if refusal else SHED_REASON
     if f'figdoor-reason: {reason}\r\n' not in answer:
