--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import CannotListenError
 
 from figdoor_gateway.application import build_node
-from figdoor_gateway.lifecycle import Lifecycle
+from figdoor_gateway.lifecycle import Lifecycle, SettingsReload
 from figdoor_gateway.logs import capture_twisted_errors, configure_logs
 from figdoor_gateway.loop import reactor
 from figdoor_gateway.memory import settle_heap
@@ -58,6 +58,9 @@
     deployment = Deployment(settings.deployment)
     node = build_node(settings, load_plugins(deployment=deployment))
     lifecycle: Lifecycle = node.part(Extension.SERVICE, 'lifecycle')
+    reload: SettingsReload = node.part(Extension.SERVICE, 'settings-reload')
+    reload.use(sys.argv, partial(read_settings, sys.argv, os.environ))
+    signal.signal(signal.SIGHUP, partial(_reload, reload))
     on_signal = partial(_stop, lifecycle)
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
@@ -68,6 +71,11 @@
     reactor.run(installSignalHandlers=False)
 
 
+def _reload(reload: SettingsReload, *_: object) -> None:
+    logger.info('asked to read the settings again')
+    reactor.callFromThread(reload.reload)
+
+
 def _stop(lifecycle: Lifecycle, *_: object) -> None:
     logger.info('asked to stop')
     reactor.callFromThread(lifecycle.shut_down, reactor.stop)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
@@ -12,7 +12,14 @@
 from figdoor_gateway.loop import BACKLOG, reactor
 from figdoor_gateway.protocols import Dialect, UpstreamTransport
 from figdoor_gateway.sockets import is_readable, refuse_new_connections
-from figdoor_kernel import Clock, Dispatcher, Extension, Node, TablesAccepted
+from figdoor_kernel import (
+    Clock,
+    Dispatcher,
+    Extension,
+    Node,
+    SettingsChanged,
+    TablesAccepted,
+)
 
 SWEEP_INTERVAL_S = 1
 # How often a closing front end looks for connections that it can close.
@@ -40,7 +47,8 @@
             Extension.DIALECT,
             node.settings.dialect,
         )
-        node.events.subscribe(TablesAccepted, self._on_tables)
+        node.events.subscribe(TablesAccepted, self._on_change)
+        node.events.subscribe(SettingsChanged, self._on_change)
         self.is_draining = False
         self.malformed_count = 0
         self._connections: set[CallerConnection] = set()
@@ -121,9 +129,10 @@
         """Count a request that was refused as malformed."""
         self.malformed_count += 1
 
-    def _on_tables(self, event: TablesAccepted) -> None:
+    def _on_change(self, event: TablesAccepted | SettingsChanged) -> None:
         """Apply the limits that the tables set to all connections."""
-        limits = asdict(event.tables.caller_limits)
+        tables = self._node.tables
+        limits = asdict(tables.caller_limits) if tables else {}
         known = {name: limit for name, limit in limits.items() if limit}
         self.settings = replace(self._node.settings, **known)
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/__init__.py
@@ -2,8 +2,10 @@
 
 from figdoor_gateway.settings._options import OPTIONS, Address, Option
 from figdoor_gateway.settings._settings import (
+    ReadSettings,
     Settings,
     describe_options,
+    flag_file,
     read_settings,
 )
 
@@ -12,6 +14,8 @@
     'Address',
     'Option',
     'Settings',
+    'ReadSettings',
     'describe_options',
+    'flag_file',
     'read_settings',
 )
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -74,6 +74,19 @@
     return Success(Settings(**fields))
 
 
+def flag_file(arguments: Sequence[str]) -> str:
+    """Return the file that ``--flagfile`` names, empty without one.
+
+    >>> flag_file(['figdoor', '--flagfile=/etc/figdoor.flags'])
+    '/etc/figdoor.flags'
+    """
+    for argument in arguments:
+        name, _, path = argument.partition('=')
+        if name.lstrip('-') == 'flagfile':
+            return path
+    return ''
+
+
 def describe_options() -> str:
     """Return the text of ``--help``."""
     lines = []
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -45,6 +45,7 @@
     RevisionBehind,
     ServiceConfirmed,
     ServiceFailed,
+    SettingsChanged,
     TablesAccepted,
     TablesHeld,
     TablesOffered,
@@ -156,6 +157,7 @@
 )
 
 __all__ = (
+    'SettingsChanged',
     'RetryAdvice',
     'UpstreamsRead',
     'ItemsChanged',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -310,6 +310,14 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """The node's settings were read again and some have changed."""
+
+    names: tuple[str, ...]
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time passed; sent every ``tick_ms`` while the loop runs."""
