--- a/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from figdoor_decisions.gossip import fleet_size
 from figdoor_decisions.surveys import FreshLoads
 from figdoor_kernel import (
     ALLOW,
@@ -82,11 +83,7 @@
         return self._loads.is_cold(upstream, now_ms)
 
     def _interval_ms(self, cold_per_s: float) -> float:
-        nodes = max(
-            self._node.options.fleet_nodes,
-            len(self._node.fleet.nodes()),
-        )
-        return share_interval_ms(cold_per_s, nodes)
+        return share_interval_ms(cold_per_s, fleet_size(self._node))
 
     def _on_sent(self, event: AttemptSent) -> None:
         turn = self._turns.get(event.upstream)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -0,0 +1,175 @@
+"""Digests and pushes that nodes send each other."""
+
+from figdoor_decisions.gossip._members import Members
+from figdoor_decisions.gossip._roles import StoreReaders
+from figdoor_decisions.published import PublishedItems
+from figdoor_kernel import (
+    Digest,
+    Extension,
+    Farewell,
+    GreetingWanted,
+    ItemsBehind,
+    ItemsPush,
+    ItemsRead,
+    Node,
+    NodeId,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    Service,
+    Tick,
+)
+
+# Members exchange what they know of each other this often; transfer between
+# zones is dear.
+EXCHANGE_INTERVAL_MS = 3000.0
+# Until a node knows others it asks the seeds this often.
+SEARCH_INTERVAL_MS = 200.0
+# Parts of a fleet that have forgotten each other meet again by the seeds.
+SEED_INTERVAL_MS = 5000.0
+# Readers confirm what the others know this often. Two confirmations may be
+# lost before a node reads the store itself.
+CONFIRM_INTERVAL_MS = 400.0
+# Bytes of items that fit into one datagram beside the rest of a push.
+MAX_PUSH_BYTES = 900
+# A digest of a node that never heard the store.
+UNKNOWN_AGE_MS = 1e9
+
+
+class Relay(Service):
+    """Exchanges digests with members, and pushes what the store said."""
+
+    def __init__(self, node: Node) -> None:
+        """Follow messages, reads and time."""
+        self._node = node
+        self._members: Members = node.part(Extension.SERVICE, 'members')
+        self._readers: StoreReaders = node.part(
+            Extension.SERVICE,
+            'store-readers',
+        )
+        self._items: PublishedItems = node.part(
+            Extension.SERVICE,
+            'published-items',
+        )
+        self._next_exchange_ms = float('-inf')
+        self._next_seed_ms = float('-inf')
+        self._next_confirm_ms = float('-inf')
+        self._pushed_as_of = self._items.as_of
+        node.events.subscribe(PeerMessageReceived, self._on_message)
+        node.events.subscribe(ItemsRead, self._on_read)
+        node.events.subscribe(Tick, self._on_tick)
+
+    def stop(self) -> None:
+        """Say farewell, so that nobody waits for this node."""
+        for peer in self._members.others:
+            self._send(peer, Farewell())
+
+    def _on_tick(self, event: Tick) -> None:
+        now_ms = event.now_ms
+        if now_ms >= self._next_exchange_ms:
+            self._exchange(now_ms)
+        if now_ms >= self._next_seed_ms:
+            self._greet_seeds(now_ms)
+        if self._readers.is_reader and now_ms >= self._next_confirm_ms:
+            self._confirm(now_ms)
+
+    def _exchange(self, now_ms: float) -> None:
+        self._next_exchange_ms = now_ms + EXCHANGE_INTERVAL_MS
+        others = self._members.others
+        if others:
+            peer = self._node.random.choice(others)
+            self._send(peer, self._digest(now_ms, wants_reply=True))
+
+    def _greet_seeds(self, now_ms: float) -> None:
+        has_others = bool(self._members.others)
+        interval_ms = SEED_INTERVAL_MS if has_others else SEARCH_INTERVAL_MS
+        self._next_seed_ms = now_ms + interval_ms
+        known = self._members.addresses()
+        for address in self._node.options.seeds:
+            if address != self._node.options.peer_address and (
+                address not in known
+            ):
+                digest = self._digest(now_ms, wants_reply=True)
+                self._node.events.publish(GreetingWanted(address, digest))
+
+    def _confirm(self, now_ms: float) -> None:
+        """Tell all others how fresh the knowledge of the store is."""
+        self._next_confirm_ms = now_ms + CONFIRM_INTERVAL_MS
+        if not self._items.hears_store(now_ms):
+            return
+        digest = Digest(
+            self._items.as_of,
+            self._items.newest,
+            self._items.store_age_ms(now_ms),
+            False,
+            self._members.own_row(),
+            (0,),
+        )
+        for peer in self._members.others:
+            self._send(peer, digest)
+
+    def _digest(self, now_ms: float, *, wants_reply: bool) -> Digest:
+        rows, ages_ms = self._members.rows(now_ms)
+        return Digest(
+            self._items.as_of,
+            self._items.newest,
+            min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
+            wants_reply,
+            rows,
+            ages_ms,
+        )
+
+    def _on_read(self, event: ItemsRead) -> None:
+        """Push what the store has just told to everybody else."""
+        base = self._pushed_as_of
+        self._pushed_as_of = self._items.as_of
+        if not event.from_store or event.is_whole or not event.items:
+            return
+        size = sum(
+            len(item.key) + len(item.content or b'') for item in event.items
+        )
+        if size > MAX_PUSH_BYTES:
+            self._confirm(event.now_ms)
+            return
+        push = ItemsPush(base, self._items.as_of, 0, event.items)
+        for peer in self._members.others:
+            self._send(peer, push)
+
+    def _on_message(self, event: PeerMessageReceived) -> None:
+        match event.message:
+            case Digest() as digest:
+                self._take_digest(event.sender, digest, event.now_ms)
+            case ItemsPush() as push:
+                self._take_push(event.sender, push, event.now_ms)
+
+    def _take_digest(
+        self,
+        sender: NodeId,
+        digest: Digest,
+        now_ms: float,
+    ) -> None:
+        if digest.wants_reply:
+            self._send(sender, self._digest(now_ms, wants_reply=False))
+        if digest.newest > self._items.as_of:
+            self._node.events.publish(ItemsBehind(sender, now_ms))
+        elif digest.store_age_ms < UNKNOWN_AGE_MS:
+            self._items.confirm(digest.as_of, now_ms - digest.store_age_ms)
+
+    def _take_push(
+        self,
+        sender: NodeId,
+        push: ItemsPush,
+        now_ms: float,
+    ) -> None:
+        if push.as_of <= self._items.as_of:
+            return
+        if push.base > self._items.as_of:
+            self._node.events.publish(ItemsBehind(sender, now_ms))
+            return
+        read = ItemsRead(push.items, push.as_of, False, False, now_ms)
+        self._node.events.publish(read)
+        self._items.confirm(push.as_of, now_ms - push.store_age_ms)
+
+    def _send(
+        self, peer: NodeId, message: Digest | ItemsPush | Farewell
+    ) -> None:
+        self._node.events.publish(PeerMessageWanted(peer, message))
--- a/packages/figdoor-decisions/src/figdoor_decisions/membership/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/membership/__init__.py
@@ -14,6 +14,7 @@
     'Neighbours',
     'neighbours_of',
     'register',
+    'register_flooding',
 )
 
 
@@ -23,3 +24,9 @@
     registry.provide(Extension.SERVICE, 'flooding', Flooding)
     registry.provide(Extension.SERVICE, 'heartbeats', Heartbeats)
     registry.provide(Extension.SERVICE, 'start-rule', Joining)
+
+
+def register_flooding(registry: Registry) -> None:
+    """Provide neighbours and flooding alone."""
+    registry.provide(Extension.SERVICE, 'neighbours', Neighbours)
+    registry.provide(Extension.SERVICE, 'flooding', Flooding)
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -44,7 +44,10 @@
         # Up to this revision removed items may have been forgotten.
         self._forgotten = Revision(0)
         self.as_of = Revision(0)
-        self.store_read_at_ms = float('-inf')
+        # The last revision that changed an item.
+        self.newest = Revision(0)
+        self._store_read_ms = float('-inf')
+        self._confirmed_ms = float('-inf')
         node.events.subscribe(ItemsRead, self._on_read)
 
     @property
@@ -66,15 +69,30 @@
 
     def hears_store(self, now_ms: float) -> bool:
         """Return whether the store was read lately."""
-        return now_ms - self.store_read_at_ms <= STORE_SILENCE_MS
+        return self.store_age_ms(now_ms) <= STORE_SILENCE_MS
+
+    def store_age_ms(self, now_ms: float) -> float:
+        """Return how long ago this node itself read the store."""
+        return now_ms - self._store_read_ms
+
+    def age_ms(self, now_ms: float) -> float:
+        """Return how long ago the store is known to have had nothing newer."""
+        return now_ms - max(self._confirmed_ms, self._store_read_ms)
+
+    def confirm(self, as_of: Revision, at_ms: float) -> None:
+        """Note that nothing was missing up to ``as_of`` at that time."""
+        self.as_of = max(self.as_of, as_of)
+        self._confirmed_ms = max(self._confirmed_ms, at_ms)
 
     def _on_read(self, event: ItemsRead) -> None:
         if event.from_store:
-            self.store_read_at_ms = event.now_ms
+            self._store_read_ms = event.now_ms
         changed = [item for item in event.items if self._take(item)]
         if event.is_whole:
             changed.extend(self._drop_missing(event))
         self.as_of = max(self.as_of, event.as_of)
+        for item in event.items:
+            self.newest = max(self.newest, item.revision)
         if changed:
             self._node.events.publish(
                 ItemsChanged(tuple(changed), event.now_ms),
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -2,14 +2,26 @@
 
 from dataclasses import dataclass
 from enum import Enum, unique
+from typing import Protocol
 
 from figdoor_decisions.published._items import PublishedItems
 from figdoor_kernel import Extension, Node, Revision, Service
 
-# A connection can go silent without a reset. An update must be known within
-# two seconds once the node has been in touch for three, so a silent watch
-# must end within that time.
-WATCH_MS = 3000
+
+class ReaderRole(Protocol):
+    """Says whether this node reads the store for others."""
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether it does now."""
+
+
+# A reader confirms to others what it knows, so that it must notice soon that
+# its connection to the store has gone silent.
+WATCH_MS = 600
+# An update must be in force within two seconds. A node that nobody has
+# confirmed for this long reads the store itself.
+UNCONFIRMED_MS = 1000.0
 # Changes often come in groups, and each call counts.
 MIN_INTERVAL_MS = 100.0
 FIRST_BACKOFF_MS = 100.0
@@ -43,6 +55,10 @@
             Extension.SERVICE,
             'published-items',
         )
+        self._readers: ReaderRole = node.part(
+            Extension.SERVICE,
+            'store-readers',
+        )
         self._needs_whole = True
         self._backoff_ms: float = 0
         self._next_ms = float('-inf')
@@ -53,6 +69,10 @@
             return None
         if self._needs_whole:
             return StoreRead(ReadKind.WHOLE, Revision(0), 0)
+        if not self._readers.is_reader and (
+            self._items.age_ms(now_ms) <= UNCONFIRMED_MS
+        ):
+            return None
         return StoreRead(ReadKind.WATCH, self._items.as_of, WATCH_MS)
 
     def succeed(self, now_ms: float) -> None:
@@ -61,6 +81,10 @@
         self._backoff_ms = 0
         self._next_ms = now_ms + MIN_INTERVAL_MS
 
+    def learn_from_peer(self) -> None:
+        """Note that a peer gave all items, so no whole read is needed."""
+        self._needs_whole = False
+
     def lose_history(self, now_ms: float) -> None:
         """Note that the store has forgotten what a watch would begin with."""
         self._needs_whole = True
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_vm_list.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_vm_list.py
@@ -1,9 +1,11 @@
 """The VM list from published upstreams and known nodes."""
 
 from figdoor_kernel import (
+    MembersChanged,
     Node,
     Service,
     UpstreamsRead,
+    Vm,
     VmList,
     VmListChanged,
 )
@@ -13,10 +15,21 @@
     """Publishes one list whenever upstreams or nodes change."""
 
     def __init__(self, node: Node) -> None:
-        """Follow upstreams."""
+        """Follow upstreams and members."""
         self._node = node
+        self._upstreams: tuple[Vm, ...] = ()
+        self._members: tuple[Vm, ...] = ()
         node.events.subscribe(UpstreamsRead, self._on_upstreams)
+        node.events.subscribe(MembersChanged, self._on_members)
 
     def _on_upstreams(self, event: UpstreamsRead) -> None:
-        vm_list = VmList(event.vms)
-        self._node.events.publish(VmListChanged(vm_list, event.now_ms))
+        self._upstreams = event.vms
+        self._publish(event.now_ms)
+
+    def _on_members(self, event: MembersChanged) -> None:
+        self._members = event.members
+        self._publish(event.now_ms)
+
+    def _publish(self, now_ms: float) -> None:
+        vm_list = VmList((*self._upstreams, *self._members))
+        self._node.events.publish(VmListChanged(vm_list, now_ms))
--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/_fleet_budget.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_fleet_budget.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from figdoor_decisions.gossip import fleet_size
 from figdoor_kernel import (
     AttemptSent,
     AttemptState,
@@ -82,10 +83,9 @@
         options = self._node.options
         window = self._windows.setdefault(service, _Window())
         window.forget(now_ms - options.retry_budget_window_ms)
-        nodes = max(options.fleet_nodes, len(self._node.fleet.nodes()))
         share = options.retry_budget_percent / PERCENT
         allowed = share * len(window.requests_ms)
-        allowed += options.retry_budget_burst / nodes
+        allowed += options.retry_budget_burst / fleet_size(self._node)
         return len(window.retries_ms) + 1 <= USED_SHARE * allowed
 
     def _on_opened(self, event: CallOpened) -> None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -23,16 +23,7 @@
         BootClock(),
         _make_random(settings),
         registry,
-        Options(
-            chooser=settings.chooser,
-            vm_list_lag_ms=settings.vm_list_lag_ms,
-            fleet_nodes=int(settings.fleet_nodes),
-            retry_budget_percent=settings.retry_budget_percent,
-            retry_budget_burst=settings.retry_budget_burst,
-            retry_budget_window_ms=settings.retry_budget_window_ms,
-            cold_excess_percent=settings.cold_excess_percent,
-            stop_limit_ms=settings.stop_limit_ms,
-        ),
+        make_options(settings),
         settings,
     )
     for extension in (
@@ -45,6 +36,22 @@
     return node
 
 
+def make_options(settings: Settings) -> Options:
+    """Return what the decisions take from the settings."""
+    return Options(
+        chooser=settings.chooser,
+        vm_list_lag_ms=settings.vm_list_lag_ms,
+        fleet_nodes=int(settings.fleet_nodes),
+        retry_budget_percent=settings.retry_budget_percent,
+        retry_budget_burst=settings.retry_budget_burst,
+        retry_budget_window_ms=settings.retry_budget_window_ms,
+        cold_excess_percent=settings.cold_excess_percent,
+        stop_limit_ms=settings.stop_limit_ms,
+        seeds=tuple(map(str, settings.seeds)),
+        peer_address=str(settings.peer_listen),
+    )
+
+
 def _make_random(settings: Settings) -> Random:
     """Return a generator whose draws a replay can repeat where one records."""
     random = SystemRandom()
--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 from twisted.internet.error import CannotListenError
 
-from figdoor_gateway.application import build_node
+from figdoor_gateway.application import build_node, make_options
 from figdoor_gateway.lifecycle import Lifecycle, SettingsReload
 from figdoor_gateway.logs import capture_twisted_errors, configure_logs
 from figdoor_gateway.loop import reactor
@@ -59,7 +59,11 @@
     node = build_node(settings, load_plugins(deployment=deployment))
     lifecycle: Lifecycle = node.part(Extension.SERVICE, 'lifecycle')
     reload: SettingsReload = node.part(Extension.SERVICE, 'settings-reload')
-    reload.use(sys.argv, partial(read_settings, sys.argv, os.environ))
+    reload.use(
+        sys.argv,
+        partial(read_settings, sys.argv, os.environ),
+        make_options,
+    )
     signal.signal(signal.SIGHUP, partial(_reload, reload))
     on_signal = partial(_stop, lifecycle)
     signal.signal(signal.SIGTERM, on_signal)
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_reloading.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_reloading.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from figdoor_gateway.settings import ReadSettings, Settings, flag_file
-from figdoor_kernel import Node, Service, SettingsChanged, Tick
+from figdoor_kernel import Node, Options, Service, SettingsChanged, Tick
 
 # A changed file is noticed within this time, with or without a signal.
 CHECK_INTERVAL_MS = 1000.0
@@ -44,6 +44,7 @@
         self._node = node
         self._path = ''
         self._read: Callable[[], ReadSettings] | None = None
+        self._make_options: Callable[[Settings], Options]
         self._mark: object = None
         self._next_check_ms = float('-inf')
         node.events.subscribe(Tick, self._on_tick)
@@ -52,8 +53,10 @@
         self,
         arguments: list[str],
         read: Callable[[], ReadSettings],
+        make_options: Callable[[Settings], Options],
     ) -> None:
         """Read settings by ``read``, which looks at these arguments."""
+        self._make_options = make_options
         self._path = flag_file(arguments)
         self._read = read
         self._mark = self._file_mark()
@@ -84,6 +87,7 @@
                 ', '.join(fixed),
             )
         self._node.settings = settings
+        self._node.options = self._make_options(settings)
         logger.info('settings read again: {}', ', '.join(changed) or 'same')
         now_ms = self._node.clock.now_ms()
         self._node.events.publish(SettingsChanged(tuple(changed), now_ms))
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
@@ -5,14 +5,16 @@
 """
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, fields
 from typing import Any, get_args, get_origin, get_type_hints
 
 import capnp
 
+from figdoor_gateway.peers._item_rows import decode_item, encode_item
 from figdoor_gateway.peers._schema import MalformedMessage, schema
 from figdoor_gateway.peers._vm_rows import checked_text, decode_vm, encode_vm
-from figdoor_kernel import News, NodeId, PeerMessage, Vm
+from figdoor_kernel import News, NodeId, PeerMessage, PublishedItem, Vm
 
 MAX_DATAGRAM_BYTES = 1200
 MAX_ITEMS = 128
@@ -78,8 +80,8 @@
         if field.name == _NEWS_FIELD:
             _fill(struct.init(_NEWS_FIELD), content)
         elif field.kind is tuple:
-            items = map(encode_vm, content) if field.item is Vm else content
-            setattr(struct, field.schema_name, list(items))
+            encode_one = _ITEM_WRITERS.get(field.item, _same)
+            setattr(struct, field.schema_name, list(map(encode_one, content)))
         else:
             setattr(struct, field.schema_name, content)
 
@@ -144,7 +146,15 @@
     return raw
 
 
-_ITEM_READERS = {str: checked_text, Vm: decode_vm}
+_ITEM_READERS: dict[type, Callable[[Any], Any]] = {
+    str: checked_text,
+    Vm: decode_vm,
+    PublishedItem: decode_item,
+}
+_ITEM_WRITERS: dict[type, Callable[[Any], Any]] = {
+    Vm: encode_vm,
+    PublishedItem: encode_item,
+}
 _LAYOUTS = {
     message_type: _layout(message_type)
     for message_type in (*get_args(PeerMessage), *get_args(News))
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_datagrams.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_datagrams.py
@@ -14,8 +14,12 @@
 from figdoor_gateway.peers._counters import RECEIVED, SENT, PeerCounters
 from figdoor_gateway.peers._schema import MalformedMessage
 from figdoor_kernel import (
+    Digest,
+    GreetingWanted,
     Heartbeat,
     Node,
+    NodeId,
+    PeerMessage,
     PeerMessageReceived,
     PeerMessageWanted,
 )
@@ -45,6 +49,7 @@
         self._counters = counters
         self._on_stranger = on_stranger
         node.events.subscribe(PeerMessageWanted, self._on_wanted)
+        node.events.subscribe(GreetingWanted, self._on_greeting)
 
     def datagramReceived(  # noqa: N802
         self,
@@ -57,7 +62,9 @@
         except MalformedMessage:
             self._counters.drop('malformed')
             return
-        if self._addresses.is_of(sender, addr[:2]):
+        if self._addresses.is_of(sender, addr[:2]) or (
+            _introduces(sender, message, addr[:2])
+        ):
             kind = type(message).__name__
             self._counters.count(RECEIVED, kind, len(datagram))
             now_ms = self._node.clock.now_ms()
@@ -70,11 +77,21 @@
 
     def _on_wanted(self, event: PeerMessageWanted) -> None:
         address = self._addresses.of(event.target)
-        transport: Any = self.transport
-        if transport is None or address is None:
+        if address is None:
             self._counters.drop('unlisted-target')
+        else:
+            self._send(event.message, address)
+
+    def _on_greeting(self, event: GreetingWanted) -> None:
+        host, _, port = event.address.rpartition(':')
+        self._send(event.message, (host, int(port)))
+
+    def _send(self, message: PeerMessage, address: Address) -> None:
+        transport: Any = self.transport
+        if transport is None:
+            self._counters.drop('unsent')
             return
-        datagram = encode(self._node.node_id, event.message)
+        datagram = encode(self._node.node_id, message)
         if len(datagram) > MAX_DATAGRAM_BYTES:
             self._counters.drop('oversized')
             return
@@ -83,5 +100,14 @@
         except OSError:
             self._counters.drop('unsent')
             return
-        kind = type(event.message).__name__
+        kind = type(message).__name__
         self._counters.count(SENT, kind, len(datagram))
+
+
+def _introduces(sender: NodeId, message: PeerMessage, address: Address) -> bool:
+    """Tell whether a digest names its own sender at the address it is from."""
+    if not isinstance(message, Digest) or not message.members:
+        return False
+    own = message.members[0]
+    is_sender = NodeId(own.vm_id) == sender
+    return is_sender and (own.host, own.port) == address
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_rows.py
@@ -0,0 +1,27 @@
+"""Published items as Cap'n Proto."""
+
+from typing import Any
+
+from figdoor_gateway.peers._schema import MalformedMessage
+from figdoor_kernel import PublishedItem, Revision
+
+# The store's own limit.
+MAX_KEY_LENGTH = 200
+
+
+def encode_item(item: PublishedItem) -> dict[str, Any]:
+    """Return the fields of an item by their names in the schema."""
+    return {
+        'key': item.key,
+        'revision': item.revision,
+        'isRemoved': item.content is None,
+        'content': item.content or b'',
+    }
+
+
+def decode_item(row: Any) -> PublishedItem:
+    """Return the item; raises ``MalformedMessage``."""
+    if len(row.key) > MAX_KEY_LENGTH:
+        raise MalformedMessage('key is too long')
+    content = None if row.isRemoved else bytes(row.content)
+    return PublishedItem(row.key, Revision(row.revision), content)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_client.py
@@ -73,7 +73,7 @@
             on_answer(answer)
 
 
-class _AskingFactory(ClientFactory):
+class AskingFactory(ClientFactory):
     """Makes one connection."""
 
     noisy = False
@@ -141,7 +141,7 @@
             self._wants_snapshot,
             wants_vm_list,
         )
-        factory = _AskingFactory(
+        factory = AskingFactory(
             encode_request(request),
             lambda frame: self._take(frame, base),
         )
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_server.py
@@ -1,7 +1,7 @@
 """Answers peers that are behind, over TCP."""
 
 from dataclasses import replace
-from typing import Any
+from typing import Any, Protocol
 
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import Int32StringReceiver
@@ -24,12 +24,26 @@
 MAX_CONNECTIONS = 16
 
 
-class _Answering(Int32StringReceiver):
+class AnsweringServer(Protocol):
+    """What a connection needs of the server that made it."""
+
+    open_connections: int
+    counters: PeerCounters
+
+    def admit(self, host: str) -> bool:
+        """Return whether to answer on one more connection from there."""
+
+    def answer(self, frame: bytes) -> bytes | None:
+        """Return the frame of the answer, ``None`` for a malformed one."""
+
+
+class Answering(Int32StringReceiver):
     """One connection: one question, one answer."""
 
     MAX_LENGTH = MAX_REQUEST_BYTES
 
-    def __init__(self, server: 'SyncServer') -> None:
+    def __init__(self, server: AnsweringServer) -> None:
+        """Answer as the server says."""
         self._server = server
         self._timer: Timer | None = None
 
@@ -79,10 +93,10 @@
         self._addresses = addresses
         self._history = History(node)
 
-    def buildProtocol(self, addr: object) -> _Answering:  # noqa: N802
+    def buildProtocol(self, addr: object) -> Answering:  # noqa: N802
         """Take a connection."""
         self.open_connections += 1
-        return _Answering(self)
+        return Answering(self)
 
     def admit(self, host: str) -> bool:
         """Return whether to answer on one more connection from there."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_transport.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_transport.py
@@ -3,34 +3,32 @@
 from typing import Any
 
 from loguru import logger
+from twisted.internet.protocol import ServerFactory
 
 from figdoor_gateway.loop import BACKLOG, reactor
-from figdoor_gateway.peers._addresses import Addresses
+from figdoor_gateway.peers._addresses import Address, Addresses
 from figdoor_gateway.peers._codec import MAX_DATAGRAM_BYTES
 from figdoor_gateway.peers._counters import PeerCounters
 from figdoor_gateway.peers._datagrams import Datagrams
+from figdoor_gateway.peers._items import ItemsClient, ItemsServer
 from figdoor_gateway.peers._sync_client import SyncClient
 from figdoor_gateway.peers._sync_server import SyncServer
 from figdoor_kernel import Extension, Node
 
 
-class PeerTransport:
-    """UDP for messages and TCP for tables, on the same port number."""
+class PeerSockets:
+    """UDP for messages and TCP for what is longer, on the same port."""
 
-    def __init__(self, node: Node) -> None:
-        """Build both sides, and open nothing yet."""
+    def __init__(
+        self,
+        node: Node,
+        datagrams: Datagrams,
+        server: ServerFactory,
+    ) -> None:
+        """Open nothing yet."""
         self._node = node
-        metrics = node.part(Extension.SERVICE, 'metrics')
-        counters = PeerCounters(metrics.collectors)
-        addresses = Addresses(node)
-        client = SyncClient(node, addresses, counters)
-        self._server = SyncServer(node, addresses, counters)
-        self._datagrams = Datagrams(
-            node,
-            addresses,
-            counters,
-            client.ask_stranger,
-        )
+        self._datagrams = datagrams
+        self._server = server
         self._ports: list[Any] = []
 
     def start(self) -> None:
@@ -57,3 +55,42 @@
         """Close the ports."""
         for port in self._ports:
             port.stopListening()
+
+
+class PeerTransport(PeerSockets):
+    """Messages and tables."""
+
+    def __init__(self, node: Node) -> None:
+        """Build both sides."""
+        counters = _make_counters(node)
+        addresses = Addresses(node)
+        client = SyncClient(node, addresses, counters)
+        super().__init__(
+            node,
+            Datagrams(node, addresses, counters, client.ask_stranger),
+            SyncServer(node, addresses, counters),
+        )
+
+
+class ItemPeerTransport(PeerSockets):
+    """Messages and published items."""
+
+    def __init__(self, node: Node) -> None:
+        """Build both sides."""
+        counters = _make_counters(node)
+        addresses = Addresses(node)
+        self._client = ItemsClient(node, addresses, counters)
+        super().__init__(
+            node,
+            Datagrams(node, addresses, counters, _ignore_stranger),
+            ItemsServer(node, addresses, counters),
+        )
+
+
+def _make_counters(node: Node) -> PeerCounters:
+    metrics = node.part(Extension.SERVICE, 'metrics')
+    return PeerCounters(metrics.collectors)
+
+
+def _ignore_stranger(address: Address) -> None:
+    """Strangers introduce themselves by digests."""
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -15,6 +15,8 @@
     permitAnswer @6 :PermitAnswer;
     permitReturn @7 :PermitReturn;
     flooded @8 :Flooded;
+    digest @9 :Digest;
+    itemsPush @10 :ItemsPush;
   }
 }
 
@@ -57,6 +59,43 @@
   instance @3 :Text;
 }
 
+struct Digest {
+  asOf @0 :UInt64;
+  newest @1 :UInt64;
+  storeAgeMs @2 :Float64;
+  wantsReply @3 :Bool;
+  members @4 :List(VmRow);
+  agesMs @5 :List(UInt64);
+}
+
+struct ItemsPush {
+  base @0 :UInt64;
+  asOf @1 :UInt64;
+  storeAgeMs @2 :Float64;
+  items @3 :List(Item);
+}
+
+struct Item {
+  # One published item, or its removal.
+  key @0 :Text;
+  revision @1 :UInt64;
+  isRemoved @2 :Bool;
+  content @3 :Data;
+}
+
+struct ItemsRequest {
+  # Sent on a TCP connection in place of a SyncRequest.
+  sender @0 :Text;
+  after @1 :UInt64;
+}
+
+struct ItemsAnswer {
+  asOf @0 :UInt64;
+  isWhole @1 :Bool;
+  ageMs @2 :Float64;
+  items @3 :List(Item);
+}
+
 struct Flooded {
   origin @0 :Text;
   sequence @1 :UInt64;
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -7,6 +7,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from figdoor_gateway.logs import LOG_FORMATS
@@ -63,6 +64,15 @@
     return Success(Address(host.strip('[]'), int(port)))
 
 
+def read_addresses(text: str) -> Result[tuple[Address, ...], str]:
+    """Read addresses separated by commas; there may be none."""
+    read = [read_address(one.strip()) for one in text.split(',') if one]
+    for one in read:
+        if not is_successful(one):
+            return Failure(one.failure())
+    return Success(tuple(one.unwrap() for one in read))
+
+
 def read_url(text: str) -> Result[str, str]:
     """Read an ``http`` address."""
     parts = urlsplit(text)
@@ -136,6 +146,12 @@
         read_address,
         'IP number and port for other nodes, UDP and TCP',
     ),
+    Option(
+        'seeds',
+        '',
+        read_addresses,
+        'peer addresses of some nodes, separated by commas',
+    ),
     Option('platform_url', '', read_url, 'base address of the platform'),
     Option('chooser', 'adaptive', read_name, 'policy that picks upstreams'),
     Option(
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -20,6 +20,7 @@
     listen: Address
     operator_listen: Address
     peer_listen: Address
+    seeds: tuple[Address, ...]
     platform_url: str
     chooser: str
     dialect: str
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -32,17 +32,10 @@
     CallOpened,
     CallWaiting,
     ConnectionsClosed,
-    ItemsChanged,
-    ItemsRead,
-    NewsReceived,
-    NewsWanted,
     NodeStateChanged,
-    PeerMessageReceived,
-    PeerMessageWanted,
     ProbeEnded,
     ProbeWanted,
     ReportSeen,
-    RevisionBehind,
     ServiceConfirmed,
     ServiceFailed,
     SettingsChanged,
@@ -81,10 +74,12 @@
 )
 from figdoor_kernel._messages import (
     DeathSeen,
+    Digest,
     Farewell,
     Flooded,
     Heartbeat,
     HeartbeatAck,
+    ItemsPush,
     News,
     NewsRequest,
     PeerMessage,
@@ -101,6 +96,18 @@
     Node,
     Options,
 )
+from figdoor_kernel._peer_events import (
+    GreetingWanted,
+    ItemsBehind,
+    ItemsChanged,
+    ItemsRead,
+    MembersChanged,
+    NewsReceived,
+    NewsWanted,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    RevisionBehind,
+)
 from figdoor_kernel._protocols import (
     AdmissionRule,
     CandidateRule,
@@ -157,6 +164,11 @@
 )
 
 __all__ = (
+    'GreetingWanted',
+    'ItemsBehind',
+    'MembersChanged',
+    'Digest',
+    'ItemsPush',
     'SettingsChanged',
     'RetryAdvice',
     'UpstreamsRead',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -15,6 +15,7 @@
     UpstreamId,
     VmId,
 )
+from figdoor_kernel._published import PublishedItem
 from figdoor_kernel._vms import Vm
 
 
@@ -160,6 +161,34 @@
     news: News
 
 
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """What a node knows of the published items and of other nodes.
+
+    Nothing that changed up to ``as_of`` is missing, and nothing has changed
+    since ``newest``. The store said so ``store_age_ms`` ago. ``members``
+    begins with the sender itself; ``ages_ms`` says how long ago each of them
+    was heard of.
+    """
+
+    as_of: Revision
+    newest: Revision
+    store_age_ms: float
+    wants_reply: bool
+    members: tuple[Vm, ...]
+    ages_ms: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ItemsPush:
+    """All changes of published items after ``base``, up to ``as_of``."""
+
+    base: Revision
+    as_of: Revision
+    store_age_ms: float
+    items: tuple[PublishedItem, ...]
+
+
 PeerMessage = (
     Heartbeat
     | HeartbeatAck
@@ -169,4 +198,6 @@
     | PermitAnswer
     | PermitReturn
     | Flooded
+    | Digest
+    | ItemsPush
 )
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -32,6 +32,8 @@
     retry_budget_window_ms: float = 10_000
     cold_excess_percent: float = 0
     stop_limit_ms: float = 0
+    seeds: tuple[str, ...] = ()
+    peer_address: str = ''
 
 
 @dataclass(slots=True)
--- a/packages/figdoor-traces/src/figdoor_traces/_inputs.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_inputs.py
@@ -18,7 +18,8 @@
 from figdoor_traces._format import Line
 from figdoor_traces._statements import Statement
 
-_EVENTS = 'figdoor_kernel._events'
+_KERNEL = 'figdoor_kernel'
+_EVENTS = ('figdoor_kernel._events', 'figdoor_kernel._peer_events')
 _ATTRIBUTES = 'attributes'
 _CALL_DEFAULTS: Mapping[str, Any] = {
     'authority': 'any.example',
@@ -61,8 +62,8 @@
         """Publish any other event of the kernel by the name of its class."""
         told = dict(line.fields)
         name = told.pop('event')
-        event_type: Any = getattr(import_module(_EVENTS), name, None)
-        if getattr(event_type, '__module__', '') != _EVENTS:
+        event_type: Any = getattr(import_module(_KERNEL), name, None)
+        if getattr(event_type, '__module__', '') not in _EVENTS:
             raise ValueError(f'{name!r} is no event')
         if 'now_ms' in event_type.__dataclass_fields__:
             told['now_ms'] = line.at_ms
--- a/tests/gateway/lifecycle/test_reloading.py
+++ b/tests/gateway/lifecycle/test_reloading.py
@@ -7,6 +7,7 @@
 import pytest
 from support import ManualClock, Recorder, make_node
 
+from figdoor_gateway.application import make_options
 from figdoor_gateway.lifecycle import SettingsReload
 from figdoor_gateway.settings import read_settings
 from figdoor_kernel import SettingsChanged, Tick
@@ -28,7 +29,11 @@
         self.node.settings = read_settings(arguments, {}).unwrap()
         self.changes = Recorder(self.node, SettingsChanged)
         self.reload = SettingsReload(self.node)
-        self.reload.use(arguments, lambda: read_settings(arguments, {}))
+        self.reload.use(
+            arguments,
+            lambda: read_settings(arguments, {}),
+            make_options,
+        )
 
     def write(self, text):
         replacement = self.path.with_suffix('.new')
--- a/tests/gateway/peers/test_codec.py
+++ b/tests/gateway/peers/test_codec.py
@@ -25,6 +25,7 @@
     Heartbeat,
     News,
     PeerMessage,
+    PublishedItem,
     Vm,
     VmId,
     VmListDifference,
@@ -49,11 +50,18 @@
     st.integers(0, 65_535),
     st.sampled_from(VmState),
 )
+published_items = st.builds(
+    PublishedItem,
+    names,
+    counts,
+    st.none() | st.binary(max_size=200),
+)
 # The largest numbers that one message may carry.
 ITEMS = {
     int: st.lists(counts, max_size=96),
     VmId: st.lists(st.text(max_size=20), max_size=3),
     Vm: st.lists(vms, max_size=1),
+    PublishedItem: st.lists(published_items, max_size=1),
 }
 
 
