--- /dev/null
+++ b/tests/decisions/test_cold_rate.py
@@ -0,0 +1,79 @@
+"""Requests per second to cold upstreams, over a whole fleet."""
+
+import pytest
+from store_fleet import StoreNode, pool, store_tables, worker
+from support import make_call
+
+from figdoor_kernel import (
+    AttemptSent,
+    Extension,
+    RoutedCall,
+    Verdict,
+)
+
+# What the platform bounds: 6.3 a second, half as much again and five more.
+BOUND_PER_S = 6.3 * 1.5 + 5
+
+
+class ColdFleet:
+    """Nodes that all try to send to one cold upstream all the time."""
+
+    def __init__(self, nodes, known):
+        self.rigs = []
+        for number in range(nodes):
+            rig = StoreNode(
+                worker('a', warm_at_ms=1e9),
+                tables=store_tables(pools=[pool(cold_per_s=6.3)]),
+                fleet_nodes=known,
+                seed=number,
+            )
+            rule = rig.node.part(Extension.CANDIDATE_RULE, 'cold-rate')
+            self.rigs.append((rig, rule))
+
+    def run(self, duration_ms):
+        """Return when requests were sent."""
+        sent_ms = []
+        for _ in range(0, duration_ms, 20):
+            for rig, rule in self.rigs:
+                rig.clock.advance_ms(20)
+                upstream = rig.node.fleet.find('a')
+                tables = rig.node.tables
+                routed = RoutedCall(
+                    make_call(),
+                    tables.routes[0],
+                    tables.pools['work'],
+                    't',
+                    1e9,
+                )
+                verdict = rule.judge(upstream, routed, rig.now_ms)
+                if verdict is Verdict.ALLOW:
+                    sent_ms.append(rig.now_ms)
+                    rig.node.events.publish(
+                        AttemptSent(1, 'a', routed, rig.now_ms)
+                    )
+        return sent_ms
+
+
+def busiest_second(sent_ms):
+    return max(
+        (
+            sum(begin <= one < begin + 1000 for one in sent_ms)
+            for begin in sent_ms
+        ),
+        default=0,
+    )
+
+
+class TestColdRate:
+    @pytest.mark.parametrize('nodes', [1, 16, 24])
+    def test_fleet_stays_within_the_bound_in_any_second(self, nodes):
+        """Guards against a cold upstream that falls over under its fleet."""
+        sent_ms = ColdFleet(nodes, 24).run(8000)
+        assert sent_ms
+        assert busiest_second(sent_ms) <= BOUND_PER_S
+
+    def test_node_that_was_idle_has_saved_nothing(self):
+        fleet = ColdFleet(1, 24)
+        fleet.run(5000)
+        fleet.rigs[0][0].clock.advance_ms(60_000)
+        assert len(fleet.run(1000)) <= 1
--- /dev/null
+++ b/tests/decisions/test_gossip.py
@@ -0,0 +1,171 @@
+"""Members, roles and the relay among several nodes."""
+
+import pytest
+from support import ManualClock, Recorder, store_node
+
+from figdoor_decisions.gossip import fleet_size
+from figdoor_kernel import (
+    Extension,
+    GreetingWanted,
+    ItemsBehind,
+    ItemsRead,
+    PeerMessageReceived,
+    PeerMessageWanted,
+    PublishedItem,
+    Tick,
+)
+
+STEP_MS = 50
+
+
+class Fleet:
+    """Nodes whose datagrams arrive at once, unless they are cut off."""
+
+    def __init__(self, size):
+        self.clock = ManualClock()
+        self.nodes = {}
+        self.cut = set()
+        self.size = size
+        for number in range(size):
+            self.start(number)
+
+    def start(self, number):
+        name = f'n{number}'
+        node = store_node(
+            name,
+            self.clock,
+            seed=number,
+            fleet_nodes=1,
+            seeds=('10.0.0.0:9', '10.0.0.1:9'),
+            peer_address=f'10.0.0.{number}:9',
+        )
+        node.events.subscribe(
+            PeerMessageWanted,
+            lambda event: self.deliver(name, event.target, event.message),
+        )
+        node.events.subscribe(
+            GreetingWanted,
+            lambda event: self.deliver(
+                name, f'n{event.address[7:-2]}', event.message
+            ),
+        )
+        self.nodes[name] = node
+        node.part(Extension.SERVICE, 'members').start()
+
+    def deliver(self, sender, target, message):
+        if {sender, target} & self.cut or target not in self.nodes:
+            return
+        now_ms = self.clock.now_ms()
+        self.nodes[target].events.publish(
+            PeerMessageReceived(sender, message, now_ms)
+        )
+
+    def run(self, duration_ms):
+        for _ in range(0, duration_ms, STEP_MS):
+            self.clock.advance_ms(STEP_MS)
+            for node in tuple(self.nodes.values()):
+                node.events.publish(Tick(self.clock.now_ms()))
+
+    def known(self, name):
+        return {vm.vm_id for vm in self.nodes[name].fleet.nodes()}
+
+    def part(self, name, part):
+        return self.nodes[name].part(Extension.SERVICE, part)
+
+    def readers(self):
+        return {
+            name
+            for name in self.nodes
+            if self.part(name, 'store-readers').is_reader
+        }
+
+    def read(self, name, *items, as_of):
+        now_ms = self.clock.now_ms()
+        self.nodes[name].events.publish(
+            ItemsRead(items, as_of, False, True, now_ms)
+        )
+
+
+@pytest.fixture(scope='module')
+def settled():
+    fleet = Fleet(8)
+    fleet.run(15_000)
+    return fleet
+
+
+class TestMembers:
+    def test_nodes_find_each_other_from_the_seeds(self, settled):
+        for name in settled.nodes:
+            assert len(settled.known(name)) == 8
+
+    def test_dead_node_is_forgotten_in_the_end(self):
+        """Guards against rumours that keep a dead node alive."""
+        fleet = Fleet(5)
+        fleet.run(10_000)
+        fleet.nodes.pop('n4')
+        fleet.run(45_000)
+        assert all('n4' not in fleet.known(name) for name in fleet.nodes)
+
+    def test_parts_of_a_split_meet_again(self):
+        fleet = Fleet(4)
+        fleet.cut = {'n2', 'n3'}
+        fleet.run(30_000)
+        fleet.cut = set()
+        fleet.run(30_000)
+        assert all(len(fleet.known(name)) == 4 for name in fleet.nodes)
+
+    def test_shares_are_never_larger_than_the_settings_allow(self):
+        """Guards against a part of a split that spends the whole budget."""
+        node = store_node(fleet_nodes=24)
+        node.part(Extension.SERVICE, 'members').start()
+        assert fleet_size(node) == 24
+
+
+class TestReaders:
+    def test_two_nodes_read(self, settled):
+        assert len(settled.readers()) == 2
+
+    def test_lone_node_reads(self):
+        fleet = Fleet(1)
+        fleet.run(100)
+        assert fleet.readers() == {'n0'}
+
+
+class TestRelay:
+    def fleet(self):
+        fleet = Fleet(4)
+        fleet.run(10_000)
+        for name in fleet.nodes:
+            fleet.read(name, as_of=10)
+        return fleet
+
+    def test_push_reaches_everybody(self):
+        fleet = self.fleet()
+        reader = next(iter(fleet.readers()))
+        fleet.read(reader, PublishedItem('a', 12, b'x'), as_of=12)
+        for name in fleet.nodes:
+            assert 'a' in fleet.part(name, 'published-items').items
+
+    def test_gap_is_noticed(self):
+        """Guards against a lost push that is never made good."""
+        fleet = self.fleet()
+        reader = next(iter(fleet.readers()))
+        other = next(name for name in fleet.nodes if name != reader)
+        behind = Recorder(fleet.nodes[other], ItemsBehind)
+        fleet.cut = {other}
+        fleet.read(reader, PublishedItem('a', 12, b'x'), as_of=12)
+        fleet.cut = set()
+        fleet.read(reader, PublishedItem('b', 13, b'x'), as_of=13)
+        assert behind.events
+        assert 'b' not in fleet.part(other, 'published-items').items
+
+    def test_silence_of_the_readers_ends_the_confirmation(self):
+        """Guards against nodes that trust old items of a cut-off reader."""
+        fleet = self.fleet()
+        fleet.run(1000)
+        now_ms = fleet.clock.now_ms()
+        other = next(n for n in fleet.nodes if n not in fleet.readers())
+        items = fleet.part(other, 'published-items')
+        fleet.run(3000)
+        assert items.age_ms(fleet.clock.now_ms()) >= 2000
+        assert now_ms
--- /dev/null
+++ b/tests/gateway/upstreams/test_platform_answers.py
@@ -0,0 +1,68 @@
+"""Answers that only some dialects allow, on one connection."""
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
+from wires import Receiver, Wire
+
+from figdoor_gateway.protocols import OutboundRequest
+from figdoor_gateway.upstreams._connection import UpstreamConnection
+from figdoor_platform import PlatformDialect
+
+HEAD = b'HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Signature: s\r\n'
+WHOLE = HEAD + b'Content-Length: 2\r\n\r\nab'
+STRAY = WHOLE.replace(b'Request-Id: 1', b'Request-Id: 0').replace(b'ab', b'zz')
+
+
+class Rig:
+    """One connection with request 1 in progress."""
+
+    def __init__(self):
+        self.freed = []
+        self.closed = []
+        self.connection = UpstreamConnection(
+            self.freed.append, self.closed.append, 1000, PlatformDialect()
+        )
+        self.connection.makeConnection(Wire())
+        self.receiver = Receiver()
+        request = OutboundRequest(
+            b'GET', b'/', [(b'request-id', b'1')], b'', True, 0
+        )
+        self.connection.send(request, self.receiver)
+
+
+class TestStrayAnswer:
+    @pytest.mark.parametrize('cut', range(len(STRAY) + 3))
+    def test_late_answer_is_skipped(self, cut):
+        """Guards against a caller that gets the answer of another."""
+        rig = Rig()
+        both = STRAY + WHOLE
+        rig.connection.dataReceived(both[:cut])
+        rig.connection.dataReceived(both[cut:])
+        assert rig.receiver.text == b'ab'
+        assert rig.receiver.ends == ['complete']
+
+    def test_second_answer_closes_the_connection(self):
+        rig = Rig()
+        rig.connection.dataReceived(WHOLE + WHOLE)
+        assert rig.receiver.text == b'ab'
+        assert not rig.freed
+
+
+class TestBodyWithoutLength:
+    @pytest.mark.parametrize(
+        ('reason', 'end'),
+        [(ConnectionDone(), 'complete'), (ConnectionLost(), 'died')],
+    )
+    def test_only_a_clean_close_ends_it(self, reason, end):
+        """Guards against an answer that was reset and looks whole."""
+        rig = Rig()
+        rig.connection.dataReceived(HEAD + b'\r\nab')
+        rig.connection.connectionLost(Failure(reason))
+        assert rig.receiver.ends == [end]
+
+    def test_close_ends_no_body_with_a_length(self):
+        rig = Rig()
+        rig.connection.dataReceived(WHOLE[:-1])
+        rig.connection.connectionLost(Failure(ConnectionDone()))
+        assert rig.receiver.ends == ['died']
--- /dev/null
+++ b/tests/platform_adapter/test_decoder.py
@@ -0,0 +1,153 @@
+"""Published items become tables and upstreams."""
+
+import json
+
+import pytest
+from support import ManualClock, store_node
+from test_entries import ENTRY
+
+from figdoor_kernel import (
+    Call,
+    Dispatcher,
+    Fingerprint,
+    ItemsRead,
+    PublishedItem,
+)
+from figdoor_platform import PublishedDecoder
+
+SERVICE = {
+    'Name': 'huvo',
+    'HealthPath': '/healthz',
+    'MaxConnections': 240,
+    'Protocol': 'h1',
+    'TlsEnabled': False,
+    'Warmup': '3s',
+    'WarmupPerS': 6.3,
+}
+ROUTE = {
+    'Name': 'r-1',
+    'Prefix': '/lohu/',
+    'Type': 'idempotent',
+    'Timeout': '2000ms',
+    'TargetLatency': '600ms',
+    'Priority': 2,
+    'Service': 'huvo',
+    'MaxAttempts': 2,
+}
+
+
+def configuration(*routes, **changes):
+    fields = {
+        'Version': 7,
+        'Services': [SERVICE, {**SERVICE, 'Name': 'wuno'}],
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 1024,
+            'HeaderTimeout': '3s',
+            'IdleTimeout': '15000ms',
+        },
+        'Hosts': [{'Host': 'Ficu.example', 'Paths': list(routes) or [ROUTE]}],
+    }
+    return json.dumps({**fields, **changes}).encode()
+
+
+class Rig:
+    """A node with the decoder."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.node = store_node(clock=self.clock)
+        PublishedDecoder(self.node)
+
+    def read(self, key, revision, content):
+        item = PublishedItem(key, revision, content)
+        now_ms = self.clock.now_ms()
+        self.node.events.publish(
+            ItemsRead((item,), revision, False, True, now_ms)
+        )
+
+    @property
+    def tables(self):
+        return self.node.tables
+
+
+class TestConfiguration:
+    def test_fields_are_translated(self):
+        rig = Rig()
+        rig.read('op/config', 3, configuration())
+        route = rig.tables.routes[0]
+        assert (route.authority, route.path_prefix) == (
+            'ficu.example',
+            '/lohu/',
+        )
+        assert (route.deadline_ms, route.objective_ms) == (2000, 600)
+        assert (route.priority, route.max_attempts) == (2, 2)
+        assert rig.tables.pools['huvo'].cold_per_s == 6.3
+        assert rig.tables.caller_limits.idle_timeout_ms == 15_000
+
+    def test_type_says_whether_a_request_may_run_twice(self):
+        """Guards against a doubled order by the name of its method."""
+        rig = Rig()
+        once = {**ROUTE, 'Type': 'non_idempotent', 'Prefix': '/once/'}
+        rig.read('op/config', 3, configuration(ROUTE, once))
+        dispatcher = Dispatcher(rig.node)
+
+        def routed(path):
+            call = Call('GET', 'ficu.example', path, Fingerprint(1))
+            return dispatcher.open(call, 0, print).routed
+
+        assert routed('/lohu/x').idempotent
+        assert not routed('/once/x').idempotent
+
+    def test_split_keeps_its_weights(self):
+        rig = Rig()
+        split = [
+            {'Service': 'huvo', 'Weight': 90},
+            {'Service': 'wuno', 'Weight': 10},
+        ]
+        path = {**ROUTE, 'TrafficSplit': split}
+        path.pop('Service')
+        rig.read('op/config', 3, configuration(path))
+        assert rig.tables.routes[0].split == (('huvo', 90), ('wuno', 10))
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'{',
+            configuration(Services='none'),
+            configuration({**ROUTE, 'Service': 'nobody'}),
+            configuration({**ROUTE, 'Type': 'often'}),
+            configuration({**ROUTE, 'Timeout': 2000}),
+        ],
+    )
+    def test_what_cannot_be_read_leaves_the_last_in_force(self, content):
+        rig = Rig()
+        rig.read('op/config', 3, configuration())
+        rig.read('op/config', 4, content)
+        assert rig.tables.revision == 3
+
+
+class TestEvacuation:
+    def test_zone_is_out_until_its_key_is_removed(self):
+        rig = Rig()
+        rig.read('op/config', 3, configuration())
+        rig.read('op/evacuate/delta', 4, b'{}')
+        assert rig.tables.evacuated == {'delta'}
+        rig.read('op/evacuate/delta', 5, None)
+        assert not rig.tables.evacuated
+
+
+class TestEntries:
+    def test_broken_entry_leaves_the_others(self):
+        rig = Rig()
+        rig.read('servers/i-1', 3, json.dumps(ENTRY).encode())
+        rig.read('servers/i-2', 4, b'?')
+        assert [one.upstream_id for one in rig.node.fleet.upstreams()] == [
+            'i-1'
+        ]
+
+    def test_entry_that_is_overwritten_by_rubbish_names_no_worker(self):
+        rig = Rig()
+        rig.read('servers/i-1', 3, json.dumps(ENTRY).encode())
+        rig.read('servers/i-1', 4, b'?')
+        assert not rig.node.fleet.upstreams()
--- /dev/null
+++ b/tests/platform_adapter/test_entries.py
@@ -0,0 +1,72 @@
+"""Entries of workers, whole and broken."""
+
+import json
+
+import pytest
+
+from figdoor_kernel import VmState
+from figdoor_platform._entries import read_entry
+from figdoor_platform._values import DecodingError
+
+ENTRY = {
+    'Service': 'huvo',
+    'Address': '10.0.0.9:8080',
+    'Zone': 'delta',
+    'Version': 'v1',
+    'Capacity': 6,
+    'State': 'ready',
+    'WarmupLeft': '1500ms',
+    'Sequence': 4,
+    'born': 1_700_000_000_000,
+}
+
+
+def read(**changes):
+    fields = {**ENTRY, **changes}
+    left = {name: text for name, text in fields.items() if text is not None}
+    return read_entry('servers/i-1', json.dumps(left).encode(), 1000)
+
+
+class TestEntry:
+    def test_fields_are_translated(self):
+        vm = read()
+        assert vm.vm_id == 'i-1'
+        assert (vm.host, vm.port, vm.slots) == ('10.0.0.9', 8080, 6)
+        assert vm.state is VmState.LIVE
+        assert vm.warm_at_ms == 2500
+
+    def test_draining_worker_leaves(self):
+        assert read(State='draining').state is VmState.LEAVING
+
+    def test_start_under_the_same_id_is_another_instance(self):
+        assert read().instance != read(born=1_700_000_000_001).instance
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'Service': None},
+            {'Service': 7},
+            {'State': 'sleeping'},
+            {'State': None},
+            {'Capacity': True},
+            {'Capacity': 0},
+            {'Capacity': '6'},
+            {'Address': 'host:80'},
+            {'Address': '10.0.0.9'},
+            {'Address': '10.0.0.9:99999'},
+            {'WarmupLeft': '3'},
+            {'WarmupLeft': 'nans'},
+            {'WarmupLeft': 3},
+            {'born': 1.5},
+            {'Sequence': None},
+            {'Zone': ['delta']},
+        ],
+    )
+    def test_entry_of_another_writer_names_no_worker(self, changes):
+        with pytest.raises(DecodingError):
+            read(**changes)
+
+    @pytest.mark.parametrize('content', [b'', b'\xff', b'[]', b'{', b'7'])
+    def test_bytes_that_cannot_be_read_name_no_worker(self, content):
+        with pytest.raises(DecodingError):
+            read_entry('servers/i-1', content, 0)
--- /dev/null
+++ b/tests/store_fleet.py
@@ -0,0 +1,120 @@
+"""Nodes that follow a store, with upstreams that answer probes."""
+
+from support import ManualClock, store_node
+
+from figdoor_kernel import (
+    Call,
+    CallerLimits,
+    Dispatcher,
+    Fingerprint,
+    InstanceId,
+    LoadReport,
+    Pool,
+    ProbeEnded,
+    ProbeWanted,
+    ReportSeen,
+    Route,
+    Tables,
+    TablesRead,
+    UpstreamId,
+    UpstreamsRead,
+    Vm,
+    VmState,
+)
+
+ANY = frozenset(('*',))
+
+
+def pool(name='work', cold_per_s=6.0):
+    return Pool(name, name, ANY, 0, 240, 0, 0, cold_per_s, '/health')
+
+
+def route(name='r', prefix='/', idempotent=True, **more):
+    fields = {'objective_ms': 400, 'max_attempts': 3, **more}
+    return Route(
+        name,
+        'any.example',
+        prefix,
+        frozenset(),
+        'work',
+        ANY if idempotent else frozenset(),
+        name,
+        '',
+        2000,
+        0,
+        **fields,
+    )
+
+
+def store_tables(revision=1, routes=(), pools=(), evacuated=()):
+    return Tables(
+        revision,
+        tuple(routes) or (route(),),
+        {one.name: one for one in (tuple(pools) or (pool(),))},
+        caller_limits=CallerLimits(),
+        evacuated=frozenset(evacuated),
+    )
+
+
+def worker(name, zone='z1', state=VmState.LIVE, warm_at_ms=0, born='1'):
+    return Vm(name, 'work', zone, '10.0.0.1', 80, state, born, 6, warm_at_ms)
+
+
+class StoreNode:
+    """One node; the test says what its upstreams answer to probes."""
+
+    def __init__(self, *workers, zone='z1', tables=None, **options):
+        self.clock = ManualClock()
+        self.node = store_node(clock=self.clock, zone=zone, **options)
+        self.loads = {}
+        self.probed = []
+        self.woken = []
+        self.node.events.subscribe(ProbeWanted, self._on_probe)
+        self.list(*workers)
+        self.give(tables or store_tables())
+        self.dispatcher = Dispatcher(self.node)
+
+    @property
+    def now_ms(self):
+        return self.clock.now_ms()
+
+    def list(self, *workers):
+        self.node.events.publish(UpstreamsRead(tuple(workers), self.now_ms))
+
+    def give(self, tables):
+        self.node.events.publish(TablesRead(tables, self.now_ms))
+
+    def set_load(self, name, running=0, waiting=0, slowness=1, cold_ms=0):
+        self.loads[name] = LoadReport(
+            InstanceId(name), running, False, waiting, 6, slowness, cold_ms
+        )
+
+    def answer_probes(self):
+        """Answer what was asked; upstreams without a load stay silent."""
+        asked, self.probed = self.probed, []
+        for name in asked:
+            report = self.loads.get(name)
+            if report is not None:
+                self.node.events.publish(
+                    ReportSeen(UpstreamId(name), report, self.now_ms)
+                )
+                self.node.events.publish(
+                    ProbeEnded(UpstreamId(name), 1, True, self.now_ms)
+                )
+
+    def open(self, path='/x', fingerprint=1):
+        call = Call('GET', 'any.example', path, Fingerprint(fingerprint))
+        return self.dispatcher.open(
+            call, self.now_ms, lambda: self.woken.append(self.now_ms)
+        )
+
+    def place(self, exchange=None):
+        """Return the first step after the answers to the probes."""
+        exchange = exchange or self.open()
+        step = exchange.next_step(self.now_ms)
+        self.answer_probes()
+        self.clock.advance_ms(2)
+        return exchange.next_step(self.now_ms) if self.woken else step
+
+    def _on_probe(self, event):
+        self.probed.append(event.upstream)
--- a/tests/support.py
+++ b/tests/support.py
@@ -8,6 +8,7 @@
 from figdoor_kernel import (
     AvailabilityZoneName,
     Call,
+    Deployment,
     Extension,
     Fingerprint,
     Node,
@@ -84,6 +85,25 @@
     return registry
 
 
+def store_node(node_id='n1', clock=None, zone='z1', seed=1, **options):
+    """Return a node that follows a store, with every decision plug-in."""
+    registry = store_plugins()
+    defaults = {'chooser': 'expected-time', 'peer_address': '127.0.0.1:9'}
+    return make_node(
+        node_id,
+        clock,
+        zone,
+        seed,
+        registry,
+        **{**defaults, **options},
+    )
+
+
+def store_plugins():
+    """Return the decision plug-ins of nodes that follow a store."""
+    return load_plugins('figdoor_decisions', Deployment.STORE)
+
+
 def make_node(
     node_id='n1',
     clock=None,
