--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/_time_left.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_time_left.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from statistics import median
 
 from figdoor_kernel import (
     AttemptEnded,
@@ -65,4 +64,9 @@
         usual.answered_at_ms = event.now_ms
         usual.answers += 1
         if usual.answers % REFRESH_ANSWERS == 0:
-            usual.p50_ms = median(usual.samples)
+            usual.p50_ms = _middle(usual.samples)
+
+
+def _middle(samples: deque[float]) -> float:
+    """Return the upper median; ``statistics`` is slow to import."""
+    return sorted(samples)[len(samples) // 2]
--- a/packages/figdoor-gateway/src/figdoor_gateway/cli.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/cli.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 from loguru import logger
-from returns.pipeline import is_successful
+from returns.result import Failure, Success
 from twisted.internet.error import CannotListenError
 
 from figdoor_gateway.application import build_node, make_options
@@ -37,12 +37,17 @@
     if {'--help', '-h'} & set(sys.argv[1:]):
         sys.stdout.write(f'{_USAGE}{describe_options()}\n')
         return
-    read = read_settings(sys.argv, os.environ)
-    if not is_successful(read):
-        sys.stderr.write(f'{render_findings(read.failure())}\n')
-        sys.exit(EXIT_SETTINGS)
+    match read_settings(sys.argv, os.environ):
+        case Success(settings):
+            _run_or_exit(settings)
+        case Failure(findings):
+            sys.stderr.write(f'{render_findings(findings)}\n')
+            sys.exit(EXIT_SETTINGS)
+
+
+def _run_or_exit(settings: Settings) -> None:
     try:
-        run_node(read.unwrap())
+        run_node(settings)
     except FigdoorError as error:
         sys.stderr.write(f'{error}\n')
         sys.exit(EXIT_SETTINGS)
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_server.py
@@ -1,29 +1,29 @@
 """The operators' HTTP server."""
 
-import json
+from importlib import import_module
 from typing import Any
 
-from klein import Klein
 from loguru import logger
 from twisted.web.http import Request
+from twisted.web.resource import Resource
 from twisted.web.server import Site
 
 from figdoor_gateway.loop import reactor
 from figdoor_gateway.operator._in_force import InForce
-from figdoor_gateway.operator._page import render_page
 from figdoor_kernel import Extension, Node
 
+# Klein takes an eighth of the time that a node needs to start, and while a
+# whole fleet starts nobody looks at the pages.
+PAGES_MODULE = 'figdoor_gateway.operator._pages'
 _UNAVAILABLE = 503
 
 
 class OperatorServer:
-    """Serves ``/healthz``, ``/readyz``, ``/metrics``, ``/in-force`` and ``/``.
+    """Serves ``/healthz`` and ``/readyz`` at once, and pages on demand.
 
     Everything is read-only: operators change the tables and nothing else.
     """
 
-    app = Klein()
-
     def __init__(self, node: Node) -> None:
         """Use the node's parts when asked."""
         self._node = node
@@ -33,7 +33,7 @@
     def start(self) -> None:
         """Open the listener."""
         address = self._node.settings.operator_listen
-        site = Site(self.app.resource())
+        site = Site(_Root(self._node, self._in_force))
         site.noisy = False
         self._port = reactor.listenTCP(
             address.port,
@@ -47,36 +47,59 @@
         if self._port is not None:
             self._port.stopListening()
 
-    @app.route('/healthz')
-    def healthz(self, request: Request) -> bytes:
-        """Tell that the process runs."""
+
+class _Root(Resource):
+    """Finds the resource of a path."""
+
+    def __init__(self, node: Node, in_force: InForce) -> None:
+        super().__init__()
+        self._node = node
+        self._in_force = in_force
+        self._pages: Any = None
+        # Twisted's interfaces are not known to the type checker.
+        children: dict[bytes, Any] = {
+            b'healthz': _Health(),
+            b'readyz': _Ready(node),
+        }
+        for path, child in children.items():
+            self.putChild(path, child)
+
+    def getChild(self, path: bytes, request: Any) -> Resource:  # noqa: N802
+        """Load the pages when one of them is asked for."""
+        if self._pages is None:
+            module = import_module(PAGES_MODULE)
+            pages = module.OperatorPages(self._node, self._in_force)
+            self._pages = pages.app.resource()
+        # The pages' own routes begin with the part that was just taken off.
+        request.postpath.insert(0, request.prepath.pop())
+        resource: Resource = self._pages
+        return resource
+
+
+class _Health(Resource):
+    """Tells that the process runs."""
+
+    isLeaf = True  # noqa: N815
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        """Answer always."""
         return b'ok\n'
 
-    @app.route('/readyz')
-    def readyz(self, request: Request) -> bytes:
-        """Tell whether callers should be sent here, and why not."""
+
+class _Ready(Resource):
+    """Tells whether callers should be sent here, and why not."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, node: Node) -> None:
+        super().__init__()
+        self._node = node
+
+    def render_GET(self, request: Request) -> bytes:  # noqa: N802
+        """Answer 503 with the reasons while there are any."""
         readiness = self._node.part(Extension.SERVICE, 'readiness')
         reasons = readiness.reasons(self._node.clock.now_ms())
         if reasons:
             request.setResponseCode(_UNAVAILABLE)
             return '\n'.join((*reasons, '')).encode()
         return b'ready\n'
-
-    @app.route('/metrics')
-    def metrics(self, request: Request) -> bytes:
-        """Return all metrics in Prometheus' text format."""
-        request.setHeader(b'content-type', b'text/plain; version=0.0.4')
-        metrics = self._node.part(Extension.SERVICE, 'metrics')
-        return metrics.render()  # type: ignore[no-any-return]
-
-    @app.route('/in-force')
-    def in_force(self, request: Request) -> bytes:
-        """Return what is in force as JSON."""
-        request.setHeader(b'content-type', b'application/json')
-        return json.dumps(self._in_force.describe(), indent=2).encode()
-
-    @app.route('/')
-    def page(self, request: Request) -> bytes:
-        """Return what is in force as a page."""
-        request.setHeader(b'content-type', b'text/html; charset=utf-8')
-        return render_page(self._in_force.describe()).encode()
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -7,7 +7,6 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from figdoor_gateway.logs import LOG_FORMATS
@@ -66,11 +65,14 @@
 
 def read_addresses(text: str) -> Result[tuple[Address, ...], str]:
     """Read addresses separated by commas; there may be none."""
-    read = [read_address(one.strip()) for one in text.split(',') if one]
-    for one in read:
-        if not is_successful(one):
-            return Failure(one.failure())
-    return Success(tuple(one.unwrap() for one in read))
+    addresses = []
+    for one in filter(None, text.split(',')):
+        match read_address(one.strip()):
+            case Success(address):
+                addresses.append(address)
+            case Failure(message):
+                return Failure(message)
+    return Success(tuple(addresses))
 
 
 def read_url(text: str) -> Result[str, str]:
