--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -5,7 +5,13 @@
 from typing import Protocol
 
 from figdoor_decisions.published._items import PublishedItems
-from figdoor_kernel import Extension, Node, Revision, Service
+from figdoor_kernel import (
+    DependencyChanged,
+    Extension,
+    Node,
+    Revision,
+    Service,
+)
 
 
 class ReaderRole(Protocol):
@@ -50,7 +56,9 @@
 
     def __init__(self, node: Node) -> None:
         """Start with a whole read."""
+        self._events = node.events
         self._random = node.random
+        self._is_up: bool | None = None
         self._items: PublishedItems = node.part(
             Extension.SERVICE,
             'published-items',
@@ -77,6 +85,7 @@
 
     def succeed(self, now_ms: float) -> None:
         """Note that a read was answered."""
+        self._note(is_up=True, reason='answered', now_ms=now_ms)
         self._needs_whole = False
         self._backoff_ms = 0
         self._next_ms = now_ms + MIN_INTERVAL_MS
@@ -90,9 +99,18 @@
         self._needs_whole = True
         self._next_ms = now_ms
 
-    def fail(self, now_ms: float) -> None:
+    def fail(self, reason: str, now_ms: float) -> None:
         """Note that a read failed."""
+        self._note(is_up=False, reason=reason, now_ms=now_ms)
         doubled_ms = max(FIRST_BACKOFF_MS, 2 * self._backoff_ms)
         self._backoff_ms = min(MAX_BACKOFF_MS, doubled_ms)
         jitter = 0.5 + self._random.random()
         self._next_ms = now_ms + jitter * self._backoff_ms
+
+    def _note(self, *, is_up: bool, reason: str, now_ms: float) -> None:
+        """Tell all parts once where the store is lost or regained."""
+        if is_up is not self._is_up:
+            self._is_up = is_up
+            self._events.publish(
+                DependencyChanged('store', is_up, reason, now_ms),
+            )
--- /dev/null
+++ b/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
@@ -0,0 +1,123 @@
+"""Follows the events and writes a line for each that explains something."""
+
+from typing import Any
+
+from figdoor_gateway.decision_log._calls import CallRecords
+from figdoor_gateway.decision_log._upstreams import UpstreamChanges
+from figdoor_gateway.logs import line_writer, write_line
+from figdoor_kernel import (
+    CallClosed,
+    DependencyChanged,
+    MembersChanged,
+    Node,
+    NodeStateChanged,
+    Service,
+    SettingsChanged,
+    TablesAccepted,
+    TablesRefused,
+    Tick,
+    VmListChanged,
+)
+
+MS_PER_SECOND = 1000
+
+
+class DecisionLog(Service):
+    """Writes lines with an ``event``, the node's clock and what decided it.
+
+    A line is written for each call, and for each change of what the node
+    believes: tables, upstreams, nodes, its own state, and what it depends
+    on.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow everything that is worth a line."""
+        self._node = node
+        self._calls = CallRecords(node)
+        self._upstreams = UpstreamChanges(node)
+        self._members = 0
+        self._dropped = 0
+        self._next_check_ms = float('-inf')
+        subscribe = node.events.subscribe
+        subscribe(CallClosed, self._on_closed)
+        subscribe(TablesAccepted, self._on_accepted)
+        subscribe(TablesRefused, self._on_refused)
+        subscribe(VmListChanged, self._on_vm_list)
+        subscribe(MembersChanged, self._on_members)
+        subscribe(NodeStateChanged, self._on_state)
+        subscribe(DependencyChanged, self._on_dependency)
+        subscribe(SettingsChanged, self._on_settings)
+        subscribe(Tick, self._on_tick)
+
+    def start(self) -> None:
+        """Say that the process has started."""
+        self._write('start', self._node.clock.now_ms())
+
+    def stop(self) -> None:
+        """Say that the process ends."""
+        self._write('stop', self._node.clock.now_ms())
+        line_writer.flush()
+
+    def _write(self, event: str, now_ms: float, **fields: Any) -> None:
+        write_line(
+            {
+                'event': event,
+                'node': self._node.node_id,
+                'at_s': round(now_ms / MS_PER_SECOND, 3),
+                **fields,
+            },
+        )
+
+    def _on_closed(self, event: CallClosed) -> None:
+        self._write('call', event.now_ms, **self._calls.describe(event))
+
+    def _on_accepted(self, event: TablesAccepted) -> None:
+        tables = event.tables
+        self._write(
+            'tables-accepted',
+            event.now_ms,
+            revision=tables.revision,
+            routes=len(tables.routes),
+            evacuated=sorted(tables.evacuated),
+        )
+
+    def _on_refused(self, event: TablesRefused) -> None:
+        self._write(
+            'tables-refused',
+            event.now_ms,
+            revision=event.revision,
+            findings=list(map(str, event.findings)),
+        )
+
+    def _on_vm_list(self, event: VmListChanged) -> None:
+        for change in self._upstreams.read():
+            self._write('upstream', event.now_ms, **change)
+
+    def _on_members(self, event: MembersChanged) -> None:
+        count = len(event.members)
+        if count != self._members:
+            self._members = count
+            self._write('members', event.now_ms, nodes=count)
+
+    def _on_state(self, event: NodeStateChanged) -> None:
+        self._write('node-state', event.now_ms, state=event.state.value)
+
+    def _on_dependency(self, event: DependencyChanged) -> None:
+        self._write(
+            'dependency',
+            event.now_ms,
+            name=event.name,
+            state='regained' if event.is_up else 'lost',
+            reason=event.reason,
+        )
+
+    def _on_settings(self, event: SettingsChanged) -> None:
+        self._write('reload', event.now_ms, changed=list(event.names))
+
+    def _on_tick(self, event: Tick) -> None:
+        dropped = line_writer.dropped_count - self._dropped
+        if dropped and event.now_ms >= self._next_check_ms:
+            self._dropped = line_writer.dropped_count
+            self._next_check_ms = event.now_ms + MS_PER_SECOND
+            self._write('lines-dropped', event.now_ms, count=dropped)
+        line_writer.flush()
--- a/packages/figdoor-gateway/src/figdoor_gateway/logs.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/logs.py
@@ -15,13 +15,21 @@
 )
 from zope.interface import provider
 
+from figdoor_gateway.line_writer import LineWriter
+
+line_writer = LineWriter()
+
 LOG_FORMATS = ('text', 'json')
 _TEXT_FORMAT = '{time:YYYY-MM-DD HH:mm:ss.SSS} {level} {name}: {message}'
 _FAILURES = frozenset((LogLevel.error, LogLevel.critical))
 
 
 def configure_logs(log_format: str, log_level: str) -> None:
-    """Send all log records of the process to standard error."""
+    """Send all log records of the process to one place.
+
+    JSON lines go to standard output, where the platform collects them, and
+    text goes to standard error for a person at the terminal.
+    """
     logger.remove()
     if log_format == 'json':
         logger.add(_write_json, level=log_level)
@@ -52,6 +60,11 @@
     logger.opt(exception=error).error('{}', text)
 
 
+def write_line(fields: Mapping[str, Any]) -> None:
+    """Write one structured line to standard output, or drop it."""
+    line_writer.add(json.dumps(fields, default=str))
+
+
 def _write_json(message: Any) -> None:
     record = message.record
     line = {
@@ -65,4 +78,4 @@
         line['exception'] = ''.join(
             traceback.format_exception(record['exception'].value),
         )
-    sys.stderr.write(f'{json.dumps(line, default=str)}\n')
+    write_line(line)
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -32,6 +32,7 @@
     CallOpened,
     CallWaiting,
     ConnectionsClosed,
+    DependencyChanged,
     NodeStateChanged,
     ProbeEnded,
     ProbeWanted,
@@ -164,6 +165,7 @@
 )
 
 __all__ = (
+    'DependencyChanged',
     'GreetingWanted',
     'ItemsBehind',
     'MembersChanged',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -83,7 +83,7 @@
         routed = self._route(call, now_ms)
         if routed is not None:
             self.node.events.publish(CallOpened(routed, now_ms))
-        return Exchange(self, routed, now_ms, wake)
+        return Exchange(self, routed, now_ms, wake, call.request_id)
 
     def judge(
         self,
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -41,6 +41,7 @@
     refusal: Refusal | None
     latency_ms: float
     now_ms: float
+    request_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,6 +242,16 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class DependencyChanged:
+    """Something that the node depends on was lost or regained."""
+
+    name: str
+    is_up: bool
+    reason: str
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
     """The node's settings were read again and some have changed."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -48,8 +48,10 @@
         routed: RoutedCall | None,
         now_ms: float,
         wake: Callable[[], None],
+        request_id: str = '',
     ) -> None:
         """Start before the first attempt."""
+        self._request_id = request_id
         self.routed = routed
         self.attempts_made = 0
         self._dispatcher = dispatcher
@@ -327,6 +329,7 @@
                 refusal,
                 now_ms - self._opened_ms,
                 now_ms,
+                self._request_id,
             ),
         )
         return self._finish
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -128,7 +128,7 @@
         while now_ms < 10_000:
             if plan.next_read(now_ms):
                 reads += 1
-                plan.fail(now_ms)
+                plan.fail('down', now_ms)
             now_ms += 10
         assert 8 <= reads <= 30
 
--- a/tests/gateway/test_logs.py
+++ b/tests/gateway/test_logs.py
@@ -1,13 +1,27 @@
 """Logs: what a log collector reads."""
 
 import json
+import os
+import sys
 
 import pytest
 from loguru import logger
 from twisted.logger import LogLevel
 from twisted.python.failure import Failure
 
-from figdoor_gateway.logs import configure_logs, log_twisted_event
+from figdoor_gateway import line_writer as line_writer_module
+from figdoor_gateway.line_writer import LineWriter
+from figdoor_gateway.logs import (
+    configure_logs,
+    line_writer,
+    log_twisted_event,
+)
+
+
+def read_lines(capfd):
+    """Return the JSON lines, which the platform collects from stdout."""
+    line_writer.flush()
+    return capfd.readouterr().out.splitlines()
 
 
 class TestConfigureLogs:
@@ -16,27 +30,27 @@
         yield
         logger.remove()
 
-    def test_each_event_is_one_json_line_even_with_line_breaks(self, capsys):
+    def test_each_event_is_one_json_line_even_with_line_breaks(self, capfd):
         configure_logs('json', 'INFO')
         logger.bind(route='read').warning('two\nlines of {}', 'text')
         logger.info('next')
-        first, second = capsys.readouterr().err.splitlines()
+        first, second = read_lines(capfd)
         told = json.loads(first)
         assert told['message'] == 'two\nlines of text'
         assert (told['level'], told['route']) == ('WARNING', 'read')
         assert told['logger'] == __name__
         assert json.loads(second)['message'] == 'next'
 
-    def test_exception_keeps_its_traceback_within_the_line(self, capsys):
+    def test_exception_keeps_its_traceback_within_the_line(self, capfd):
         configure_logs('json', 'INFO')
         try:
             raise ValueError('reason')
         except ValueError:
             logger.exception('failed')
-        (line,) = capsys.readouterr().err.splitlines()
+        (line,) = read_lines(capfd)
         assert 'ValueError: reason' in json.loads(line)['exception']
 
-    def test_error_that_twisted_caught_is_one_json_line_too(self, capsys):
+    def test_error_that_twisted_caught_is_one_json_line_too(self, capfd):
         configure_logs('json', 'INFO')
         log_twisted_event(
             {
@@ -46,15 +60,44 @@
             },
         )
         log_twisted_event({'log_level': LogLevel.info, 'log_format': 'x'})
-        (line,) = capsys.readouterr().err.splitlines()
+        (line,) = read_lines(capfd)
         told = json.loads(line)
         assert told['message'] == 'Unhandled Error'
         assert 'ValueError: reason' in told['exception']
 
-    def test_lower_levels_are_left_out(self, capsys):
+    def test_lower_levels_are_left_out(self, capfd):
         configure_logs('text', 'WARNING')
         logger.info('quiet')
         logger.error('loud')
-        text = capsys.readouterr().err
+        text = capfd.readouterr().err
         assert 'loud' in text
         assert 'quiet' not in text
+
+
+class TestLineWriter:
+    def test_reader_that_does_not_read_blocks_nothing(self, monkeypatch):
+        """Guards against a full pipe that stops the loop."""
+        reader, writer = os.pipe()
+        with os.fdopen(writer, 'w') as full, os.fdopen(reader) as unread:
+            monkeypatch.setattr(sys, 'stdout', full)
+            lines = LineWriter()
+            monkeypatch.setattr(line_writer_module, 'MAX_LINES_PER_S', 10**9)
+            for _ in range(2000):
+                lines.add('x' * 1000)
+                lines.flush()
+            assert lines.dropped_count > 0
+            assert unread.readline() == 'x' * 1000 + '\n'
+
+    def test_lines_arrive_whole_and_in_order(self, capfd):
+        lines = LineWriter()
+        for number in range(300):
+            lines.add(f'{number} ' + 'x' * 100)
+        lines.flush()
+        told = capfd.readouterr().out.splitlines()
+        assert [int(one.split()[0]) for one in told] == list(range(300))
+
+    def test_volume_is_bounded_under_load(self):
+        lines = LineWriter()
+        for _ in range(5000):
+            lines.add('x')
+        assert lines.dropped_count >= 5000 - 2 * 400
