--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
@@ -2,11 +2,13 @@
 
 from figdoor_decisions.retries._advice import SpreadAdvice
 from figdoor_decisions.retries._fleet_budget import FleetRetryBudget
+from figdoor_decisions.retries._hedging import SlowAnswerHedge
 from figdoor_decisions.retries._rules import DeadlineRule, RetryBudget
 from figdoor_decisions.retries._time_left import TimeLeftRule
 from figdoor_kernel import Extension, Registry
 
 __all__ = (
+    'SlowAnswerHedge',
     'DeadlineRule',
     'RetryBudget',
     'TimeLeftRule',
@@ -32,4 +34,5 @@
 def register_fleet_budget(registry: Registry) -> None:
     """Provide the share of a budget that each service has fleet-wide."""
     registry.provide(Extension.RETRY_RULE, 'fleet-budget', FleetRetryBudget)
+    registry.provide(Extension.HEDGE_RULE, 'slow-answer', SlowAnswerHedge)
     registry.provide(Extension.RETRY_ADVICE, 'spread', SpreadAdvice)
--- /dev/null
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_hedging.py
@@ -0,0 +1,66 @@
+"""When a second attempt begins beside a first that takes long."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from figdoor_kernel import (
+    AttemptEnded,
+    AttemptState,
+    Node,
+    RoutedCall,
+    RouteName,
+    Upstream,
+)
+
+SAMPLES = 32
+# A call that has taken this many times the usual time has most likely met a
+# failing or slowed upstream.
+SLOW_FACTOR = 1.6
+# A second attempt is of use only if its answer can come within the
+# objective, so it begins before this share of it has passed.
+LATEST_SHARE = 0.6
+
+
+@dataclass(slots=True)
+class _Usual:
+    """The last latencies of a route's answers."""
+
+    samples_ms: deque[float] = field(
+        default_factory=lambda: deque(maxlen=SAMPLES),
+    )
+
+
+class SlowAnswerHedge:
+    """Begins one more attempt once an answer is later than usual.
+
+    The retry rules bound how many there are.
+    """
+
+    def __init__(self, node: Node) -> None:
+        """Follow answered attempts."""
+        self._usual: dict[RouteName, _Usual] = {}
+        node.events.subscribe(AttemptEnded, self._on_ended)
+
+    def hedge_ms(
+        self,
+        routed: RoutedCall,
+        upstream: Upstream,
+        sent_ms: float,
+    ) -> float | None:
+        """Return the time, ``None`` without an objective."""
+        objective_ms = routed.route.objective_ms
+        if not objective_ms:
+            return None
+        latest_ms = routed.opened_ms + LATEST_SHARE * objective_ms
+        usual = self._usual.get(routed.route.name)
+        if usual is None:
+            return latest_ms
+        ordered_ms = sorted(usual.samples_ms)
+        usual_ms = ordered_ms[len(ordered_ms) // 2]
+        return min(latest_ms, sent_ms + SLOW_FACTOR * usual_ms)
+
+    def _on_ended(self, event: AttemptEnded) -> None:
+        if event.state is AttemptState.ANSWERED and not event.failed:
+            name = event.routed.route.name
+            usual = self._usual.setdefault(name, _Usual())
+            usual.samples_ms.append(event.latency_ms)
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -4,13 +4,14 @@
 
 from loguru import logger
 
+from figdoor_gateway.frontend._attempt import ProxiedAttempt
 from figdoor_gateway.frontend._checks import BadRequestError
 from figdoor_gateway.frontend._delivery import Delivery
 from figdoor_gateway.frontend._outbound import make_outbound, max_idle_ms
 from figdoor_gateway.frontend._request import CallerRequest
 from figdoor_gateway.frontend._upload import Upload
 from figdoor_gateway.loop import Timer, call_later, cancel
-from figdoor_gateway.protocols import AnswerHead, OutboundRequest, Sending
+from figdoor_gateway.protocols import AnswerHead, OutboundRequest
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
@@ -24,13 +25,11 @@
 if TYPE_CHECKING:
     from figdoor_gateway.frontend._connection import CallerConnection
 
-_FIRST_SERVER_ERROR = 500
-
 
 class ProxiedCall:
     """Does the steps of an exchange and passes the answer on.
 
-    It is the receiver of each attempt.
+    Each attempt tells it what the upstream answered.
     """
 
     def __init__(
@@ -49,13 +48,10 @@
         )
         self._delivery = Delivery(connection, request)
         self._outbound: OutboundRequest | None = None
-        self._sending: Sending | None = None
         self._upload: Upload | None = None
-        self._attempts = 0
-        self._was_shed = False
+        self._attempts: dict[int, ProxiedAttempt] = {}
         self._is_late = False
         self._is_over = False
-        self._has_failed = False
         self._deadline_timer: Timer | None = None
         self._wait_timer: Timer | None = None
 
@@ -91,47 +87,53 @@
 
     def pause(self) -> None:
         """Slow the upstream down, because the caller reads slowly."""
-        if self._sending is not None:
-            self._sending.pause()
+        for attempt in self._attempts.values():
+            if attempt.sending is not None:
+                attempt.sending.pause()
 
     def resume(self) -> None:
         """Let the upstream go on."""
-        if self._sending is not None:
-            self._sending.resume()
+        for attempt in self._attempts.values():
+            if attempt.sending is not None:
+                attempt.sending.resume()
 
-    def may_send(self) -> bool:
+    def may_send(self, attempt: ProxiedAttempt) -> bool:
         """Check all rules right before the first byte leaves."""
         now_ms = self._clock.now_ms()
         try:
-            return self._exchange.confirm_send(now_ms)
+            return self._exchange.confirm_send(now_ms, attempt.number)
         except Exception:
             # No byte leaves. The call ends here, since another attempt would
             # most likely meet the same fault of a plug-in.
             logger.exception('checking a call before sending failed')
             unsent = AttemptResult(AttemptState.UNSENT_FAILURE, final=True)
-            self._exchange.end(unsent, now_ms)
+            self._exchange.end(unsent, now_ms, attempt.number)
             return False
 
-    def unsent(self, refused: bool) -> None:
+    def end_unsent(self, attempt: ProxiedAttempt, refused: bool) -> None:
         """Try elsewhere, since no byte left."""
-        self._use(None)
-        self._attempts += 1
         # Without effect where the send was not confirmed, which has ended
         # the attempt already.
-        self._end_attempt(AttemptState.UNSENT_FAILURE, died=refused)
+        self._end_attempt(attempt, AttemptState.UNSENT_FAILURE, died=refused)
         self._advance()
 
-    def head(self, head: AnswerHead) -> None:
-        """Pass the head on, unless the upstream shed the request."""
+    def take_head(self, attempt: ProxiedAttempt, head: AnswerHead) -> None:
+        """Pass the head on, unless another attempt follows."""
+        now_ms = self._clock.now_ms()
+        number = attempt.number
         if head.report is not None:
-            self._exchange.report(head.report, self._clock.now_ms())
-        self._was_shed = head.shed
-        self._has_failed = head.status >= _FIRST_SERVER_ERROR
-        if not head.shed:
-            self._exchange.begin_answer()
-            self._delivery.begin(head)
+            self._exchange.report(head.report, now_ms, number)
+        if attempt.has_failed and not head.shed and not head.inner_outcome:
+            attempt.is_dropped = self._exchange.may_replace(now_ms, number)
+        attempt.is_dropped = attempt.is_dropped or head.shed
+        if attempt.is_dropped:
+            return
+        self._exchange.begin_answer(number)
+        for other in self._exchange.drop_others(now_ms, number):
+            self._attempts.pop(other).cancel()
+        self._delivery.begin(head)
 
-    def body(self, data: bytes) -> None:
+    def take_body(self, data: bytes) -> None:
         """Pass a part of the body on."""
         self._delivery.body(data)
         if self._delivery.is_oversized:
@@ -143,29 +145,24 @@
         """Pass on what was taken; more of the answer comes later."""
         self._delivery.flush()
 
-    def complete(self) -> None:
-        """Finish the answer, or try elsewhere where it was shed."""
-        self._use(None)
-        if self._was_shed:
-            self._end_attempt(AttemptState.SHED)
-            self._was_shed = False
+    def end_answer(self, attempt: ProxiedAttempt) -> None:
+        """Finish the answer, or go on where it was dropped."""
+        if attempt.is_dropped:
+            shed = attempt.was_shed
+            state = AttemptState.SHED if shed else AttemptState.LOST
+            self._end_attempt(attempt, state)
             self._advance()
             return
         self._end()
         # The caller need not wait until all parts have noted the end. The
         # next request of its connection begins after that.
         self._delivery.write_end()
-        self._end_attempt(AttemptState.ANSWERED)
+        self._end_attempt(attempt, AttemptState.ANSWERED)
         self._delivery.finish()
 
-    def lost(self, connection_died: bool) -> None:
+    def end_lost(self, attempt: ProxiedAttempt, connection_died: bool) -> None:
         """Cut the caller's answer if it has begun, else decide anew."""
-        if self._was_shed:
-            # The mark was seen; the rest of that answer does not matter.
-            self.complete()
-            return
-        self._use(None)
-        self._end_attempt(AttemptState.LOST, died=connection_died)
+        self._end_attempt(attempt, AttemptState.LOST, died=connection_died)
         if self._delivery.has_begun:
             self._cut()
         else:
@@ -196,8 +193,6 @@
             return Finish(Outcome.UNKNOWN)
 
     def _send(self, step: Send) -> None:
-        self._attempts += 1
-        attempt = self._attempts
         previous = self._outbound
         body = previous.body if previous else bytes(self._request.body)
         upload = self._upload
@@ -215,19 +210,20 @@
             ),
             upload,
         )
+        attempt = ProxiedAttempt(self, step.attempt_number)
+        self._attempts[attempt.number] = attempt
         sending = self._connection.front_end.transport.send(
             step.upstream,
             self._outbound,
-            self,
+            attempt,
         )
-        # The attempt may have ended already, and another one begun.
-        if attempt == self._attempts and not self._is_over:
-            self._use(sending)
-
-    def _use(self, sending: Sending | None) -> None:
-        self._sending = sending
-        if self._upload is not None:
-            self._upload.sending = sending
+        # The attempt may have ended already.
+        if attempt.number in self._attempts:
+            attempt.sending = sending
+            if upload is not None:
+                upload.sending = sending
+            # A second attempt may follow beside it.
+            self._advance()
 
     def _on_deadline(self) -> None:
         self._is_late = True
@@ -245,15 +241,27 @@
 
     def _give_up(self) -> None:
         self._exchange.abandon(self._clock.now_ms())
-        if self._sending is not None:
-            self._sending.cancel()
-            self._use(None)
+        for attempt in self._attempts.values():
+            attempt.cancel()
+        self._attempts.clear()
+        if self._upload is not None:
+            self._upload.sending = None
 
-    def _end_attempt(self, state: AttemptState, died: bool = False) -> None:
-        failed = state is AttemptState.ANSWERED and self._has_failed
+    def _end_attempt(
+        self,
+        attempt: ProxiedAttempt,
+        state: AttemptState,
+        died: bool = False,
+    ) -> None:
+        self._attempts.pop(attempt.number, None)
+        attempt.release()
+        if self._upload is not None:
+            self._upload.sending = None
+        is_shed = state is AttemptState.SHED
         self._exchange.end(
-            AttemptResult(state, failed, died),
+            AttemptResult(state, attempt.has_failed and not is_shed, died),
             self._clock.now_ms(),
+            attempt.number,
         )
 
     def _end(self) -> None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -75,6 +75,13 @@
     return Success(tuple(addresses))
 
 
+def read_yes_or_no(text: str) -> Result[bool, str]:
+    """Read ``yes`` or ``no``."""
+    if text in {'yes', 'no'}:
+        return Success(text == 'yes')
+    return Failure(f'{text!r} is neither yes nor no')
+
+
 def read_url(text: str) -> Result[str, str]:
     """Read an ``http`` address."""
     parts = urlsplit(text)
@@ -206,6 +213,13 @@
         NumberReader(100, 600_000),
         'time over which retries and requests are counted',
     ),
+    Option(
+        'retry_failed_answers',
+        'no',
+        read_yes_or_no,
+        'whether an idempotent request is tried again after an upstream '
+        'answered with an error of its own',
+    ),
     Option(
         'cold_excess_percent',
         '0',
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -114,6 +114,7 @@
     CandidateRule,
     Chooser,
     Clock,
+    HedgeRule,
     LoadSurvey,
     PermitSource,
     ReadinessRule,
@@ -165,6 +166,7 @@
 )
 
 __all__ = (
+    'HedgeRule',
     'DependencyChanged',
     'GreetingWanted',
     'ItemsBehind',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -3,7 +3,7 @@
 The dispatcher knows nothing of any encoding, so any front end can use it.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from itertools import count
 
 from figdoor_kernel._calls import Call, RoutedCall
@@ -12,12 +12,13 @@
 )
 from figdoor_kernel._exchange import Exchange
 from figdoor_kernel._fleet import Upstream
-from figdoor_kernel._ids import TenantName
+from figdoor_kernel._ids import TenantName, UpstreamId
 from figdoor_kernel._node import Node
 from figdoor_kernel._protocols import (
     AdmissionRule,
     CandidateRule,
     Chooser,
+    HedgeRule,
     LoadSurvey,
     PermitSource,
     RetryAdvice,
@@ -28,6 +29,7 @@
 from figdoor_kernel._splitting import Splitter
 from figdoor_kernel._states import (
     ALLOW,
+    ASK,
     DENY,
     Outcome,
     Refusal,
@@ -64,6 +66,9 @@
         self.load_surveys: tuple[LoadSurvey, ...] = node.parts(
             Extension.LOAD_SURVEY,
         )
+        self.hedge_rules: tuple[HedgeRule, ...] = node.parts(
+            Extension.HEDGE_RULE,
+        )
         self.retry_advice: tuple[RetryAdvice, ...] = node.parts(
             Extension.RETRY_ADVICE,
         )
@@ -102,6 +107,25 @@
             strictest = verdict
         return strictest
 
+    def candidates(
+        self,
+        routed: RoutedCall,
+        tried: Container[UpstreamId],
+        now_ms: float,
+    ) -> tuple[list[Upstream], list[Upstream]]:
+        """Return the upstreams that may be sent to, and those to ask for."""
+        allowed = []
+        askable = []
+        for upstream in self.node.fleet.of_service(routed.pool.service):
+            if upstream.upstream_id in tried:
+                continue
+            verdict = self.judge(upstream, routed, now_ms)
+            if verdict is ALLOW:
+                allowed.append(upstream)
+            elif verdict is ASK:
+                askable.append(upstream)
+        return allowed, askable
+
     def refusal(
         self,
         routed: RoutedCall,
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -24,9 +24,8 @@
     ReportSeen,
 )
 from figdoor_kernel._fleet import Upstream
+from figdoor_kernel._ids import UpstreamId
 from figdoor_kernel._states import (
-    ALLOW,
-    ASK,
     AttemptState,
     Outcome,
     Refusal,
@@ -58,8 +57,9 @@
         self._events = dispatcher.node.events
         self._opened_ms = now_ms
         self._wake = wake
-        self._tried: set[str] = set()
-        self._attempt: _CurrentAttempt | None = None
+        self._tried: set[UpstreamId] = set()
+        self._attempts: dict[int, _CurrentAttempt] = {}
+        self._hedge_is_over = False
         self._finish: Finish | None = None
         self._may_have_run = False
         self._is_waiting = False
@@ -70,10 +70,8 @@
         if self._finish is not None:
             return self._finish
         routed = self.routed
-        if self._attempt is not None and routed is not None:
-            # A second attempt beside the first could run the call twice. The
-            # time is never now, or the front end would ask without a pause.
-            return Wait(max(routed.deadline_ms, now_ms + MIN_WAIT_MS))
+        if self._attempts and routed is not None:
+            return self._step_in_flight(routed, now_ms)
         self._is_waiting = False
         if routed is None:
             has_tables = self._dispatcher.node.tables is not None
@@ -84,15 +82,16 @@
             return self._close(Outcome.NOT_RUN, refusal, now_ms)
         return self._seek(routed, now_ms)
 
-    def confirm_send(self, now_ms: float) -> bool:
+    def confirm_send(self, now_ms: float, number: int | None = None) -> bool:
         """Check all rules once more; call it right before the first byte.
 
         Time may have passed since the choice, in a connection attempt or
         because the process was paused. Where it returns ``False`` the attempt
         has ended unsent, and ``next_step`` says what follows. Where it raises,
         no byte may leave and the attempt is still to be ended as unsent.
+        ``number`` is that of the attempt, by default the last one.
         """
-        attempt = self._attempt
+        attempt = self._find(number)
         routed = self.routed
         if attempt is None or routed is None:
             return False
@@ -102,7 +101,8 @@
             for rule in self._dispatcher.candidate_rules
         )
         if not confirmed:
-            self.end(AttemptResult(AttemptState.UNSENT_FAILURE), now_ms)
+            unsent = AttemptResult(AttemptState.UNSENT_FAILURE)
+            self.end(unsent, now_ms, attempt.number)
             return False
         attempt.sent_ms = now_ms
         self._events.publish(
@@ -117,60 +117,166 @@
         attempt.life.send()
         return True
 
-    def begin_answer(self) -> None:
+    def begin_answer(self, number: int | None = None) -> None:
         """Note that the head of an answer is being passed on."""
-        if self._attempt is not None:
-            self._attempt.life.begin_answer()
+        attempt = self._find(number)
+        if attempt is not None:
+            attempt.life.begin_answer()
 
-    def report(self, report: LoadReport, now_ms: float) -> None:
+    def report(
+        self,
+        report: LoadReport,
+        now_ms: float,
+        number: int | None = None,
+    ) -> None:
         """Tell all parts what the upstream says of its load."""
-        if self._attempt is not None:
-            upstream_id = self._attempt.upstream.upstream_id
+        attempt = self._find(number)
+        if attempt is not None:
+            upstream_id = attempt.upstream.upstream_id
             self._events.publish(ReportSeen(upstream_id, report, now_ms))
 
-    def end(self, seen: AttemptResult, now_ms: float) -> None:
-        """End the current attempt as the transport saw it."""
-        attempt = self._attempt
+    def may_replace(self, now_ms: float, number: int | None = None) -> bool:
+        """Return whether a failed answer is dropped for another attempt.
+
+        Only an idempotent call may run again. The attempt is then ended as
+        lost.
+        """
         routed = self.routed
-        if attempt is None or routed is None:
+        attempt = self._find(number)
+        if routed is None or attempt is None or not routed.idempotent:
+            return False
+        if not self._dispatcher.node.options.retry_failed_answers:
+            return False
+        if len(self._attempts) > 1:
+            return True
+        return self._may_retry(AttemptResult(AttemptState.LOST), now_ms)
+
+    def drop_others(self, now_ms: float, number: int) -> tuple[int, ...]:
+        """End all attempts but one, because that one is being answered."""
+        others = tuple(other for other in self._attempts if other != number)
+        for other in others:
+            self._end_attempt(self._attempts[other], None, now_ms)
+        return others
+
+    def end(
+        self,
+        seen: AttemptResult,
+        now_ms: float,
+        number: int | None = None,
+    ) -> None:
+        """End an attempt as the transport saw it.
+
+        While another one is under way, the call goes on with that.
+        """
+        attempt = self._find(number)
+        if attempt is None or self.routed is None:
             return
-        was_answering = attempt.record.state is AttemptState.ANSWERING
-        _ENDINGS[seen.state](attempt.life)
-        if seen.state is AttemptState.LOST:
-            self._may_have_run = True
-        self._attempt = None
-        self._events.publish(
-            AttemptEnded(
-                attempt.attempt_id,
-                attempt.upstream.upstream_id,
-                routed,
-                seen.state,
-                now_ms - attempt.sent_ms,
-                seen.failed,
-                seen.connection_died,
-                now_ms,
-                was_answering,
-                seen.final,
-            ),
-        )
-        if was_answering or seen.final or not self._may_retry(seen, now_ms):
+        was_answering = self._end_attempt(attempt, seen, now_ms)
+        is_answered = seen.state is AttemptState.ANSWERED
+        is_over = was_answering or seen.final or is_answered
+        if not is_over and not self._attempts:
+            is_over = not self._may_retry(seen, now_ms)
+        if is_over:
             outcome = outcome_of(seen.state) or Outcome.UNKNOWN
             self._close(outcome, None, now_ms)
 
     def abandon(self, now_ms: float) -> None:
         """End the call because its caller went away or its time is up.
 
-        The current attempt counts as lost once it was sent.
+        An attempt counts as lost once it was sent.
         """
         if self._finish is not None:
             return
-        attempt = self._attempt
-        if attempt is None:
+        if not self._attempts:
             self._close(Outcome.NOT_RUN, Refusal.DEADLINE, now_ms)
             return
-        unsent = attempt.record.state is AttemptState.UNSENT
-        state = AttemptState.UNSENT_FAILURE if unsent else AttemptState.LOST
-        self.end(AttemptResult(state, final=True), now_ms)
+        outcome = Outcome.NOT_RUN
+        for attempt in tuple(self._attempts.values()):
+            if attempt.record.state is not AttemptState.UNSENT:
+                outcome = Outcome.UNKNOWN
+            self._end_attempt(attempt, None, now_ms)
+        self._close(outcome, None, now_ms)
+
+    def _find(self, number: int | None) -> '_CurrentAttempt | None':
+        if number is not None:
+            return self._attempts.get(number)
+        return self._attempts.get(max(self._attempts, default=0))
+
+    def _end_attempt(
+        self,
+        attempt: '_CurrentAttempt',
+        seen: AttemptResult | None,
+        now_ms: float,
+    ) -> bool:
+        """Tell all parts; return whether its answer was being passed on.
+
+        Without a result the attempt is given up.
+        """
+        state = attempt.record.state
+        if seen is None:
+            unsent = state is AttemptState.UNSENT
+            seen = AttemptResult(
+                AttemptState.UNSENT_FAILURE if unsent else AttemptState.LOST,
+                final=True,
+            )
+        was_answering = state is AttemptState.ANSWERING
+        _ENDINGS[seen.state](attempt.life)
+        if seen.state is AttemptState.LOST:
+            self._may_have_run = True
+        self._attempts.pop(attempt.number)
+        if self.routed is not None:
+            self._events.publish(
+                AttemptEnded(
+                    attempt.attempt_id,
+                    attempt.upstream.upstream_id,
+                    self.routed,
+                    seen.state,
+                    now_ms - attempt.sent_ms,
+                    seen.failed,
+                    seen.connection_died,
+                    now_ms,
+                    was_answering,
+                    seen.final,
+                ),
+            )
+        return was_answering
+
+    def _step_in_flight(self, routed: RoutedCall, now_ms: float) -> Step:
+        """Wait for the attempt under way, or begin a second one beside it."""
+        # The time is never now, or the front end would ask without a pause.
+        wait = Wait(max(routed.deadline_ms, now_ms + MIN_WAIT_MS))
+        hedge_ms = self._hedge_ms(routed)
+        if hedge_ms is None:
+            return wait
+        if now_ms < hedge_ms:
+            return Wait(hedge_ms)
+        lost = AttemptResult(AttemptState.LOST)
+        step = None
+        if self._may_retry(lost, now_ms):
+            step = self._place(routed, now_ms)
+        if step is None or isinstance(step, Send):
+            self._hedge_is_over = True
+        return step or wait
+
+    def _hedge_ms(self, routed: RoutedCall) -> float | None:
+        """Return when a second attempt may begin, ``None`` for never.
+
+        A second attempt beside the first runs a call twice, so that only an
+        idempotent one may have it.
+        """
+        if self._hedge_is_over or not routed.idempotent:
+            return None
+        attempt = self._find(None)
+        if attempt is None or attempt.record.state is not AttemptState.SENT:
+            return None
+        if len(self._attempts) > 1 or not routed.call.replayable:
+            return None
+        times_ms = [
+            rule.hedge_ms(routed, attempt.upstream, attempt.sent_ms)
+            for rule in self._dispatcher.hedge_rules
+        ]
+        known_ms = [time_ms for time_ms in times_ms if time_ms is not None]
+        return max(known_ms, default=None)
 
     def _may_retry(self, seen: AttemptResult, now_ms: float) -> bool:
         routed = self.routed
@@ -188,28 +294,35 @@
         )
 
     def _seek(self, routed: RoutedCall, now_ms: float) -> Step:
-        dispatcher = self._dispatcher
-        allowed = []
-        askable = []
-        fleet = dispatcher.node.fleet
-        for upstream in fleet.of_service(routed.pool.service):
-            if upstream.upstream_id in self._tried:
-                continue
-            verdict = dispatcher.judge(upstream, routed, now_ms)
-            if verdict is ALLOW:
-                allowed.append(upstream)
-            elif verdict is ASK:
-                askable.append(upstream)
+        step = self._place(routed, now_ms)
+        if step is not None:
+            return step
+        allowed, askable = self._dispatcher.candidates(
+            routed,
+            self._tried,
+            now_ms,
+        )
+        if allowed:
+            return self._wait_for_room(routed, now_ms)
+        return self._ask(askable, routed, now_ms)
+
+    def _place(self, routed: RoutedCall, now_ms: float) -> Send | Wait | None:
+        """Choose an upstream, ``None`` where there is none to choose."""
+        allowed, _ = self._dispatcher.candidates(
+            routed,
+            self._tried,
+            now_ms,
+        )
         if not allowed:
-            return self._ask(askable, routed, now_ms)
+            return None
         until_ms = self._survey(allowed, routed, now_ms)
         if until_ms > now_ms:
             self._is_waiting = True
             return Wait(until_ms)
-        chosen = dispatcher.chooser.choose(allowed, routed, now_ms)
+        chosen = self._dispatcher.chooser.choose(allowed, routed, now_ms)
         self._was_surveyed = False
         if chosen is None:
-            return self._wait_for_room(routed, now_ms)
+            return None
         return self._start(chosen, routed, now_ms)
 
     def _survey(
@@ -281,16 +394,18 @@
         self.attempts_made += 1
         self._tried.add(upstream.upstream_id)
         record = AttemptRecord()
-        self._attempt = _CurrentAttempt(
+        attempt = _CurrentAttempt(
             next(self._dispatcher.attempt_ids),
+            self.attempts_made,
             upstream,
             record,
             start_attempt(record),
             now_ms,
         )
+        self._attempts[attempt.number] = attempt
         self._events.publish(
             AttemptStarted(
-                self._attempt.attempt_id,
+                attempt.attempt_id,
                 upstream.upstream_id,
                 routed,
                 self.attempts_made,
@@ -338,6 +453,7 @@
 @dataclass(slots=True)
 class _CurrentAttempt:
     attempt_id: int
+    number: int
     upstream: Upstream
     record: AttemptRecord
     life: AttemptLife
--- a/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
@@ -98,6 +98,18 @@
         """
 
 
+class HedgeRule(Protocol):
+    """Says when an idempotent call gets a second attempt beside the first."""
+
+    def hedge_ms(
+        self,
+        routed: RoutedCall,
+        upstream: Upstream,
+        sent_ms: float,
+    ) -> float | None:
+        """Return the time, ``None`` where there is to be none."""
+
+
 class LoadSurvey(Protocol):
     """Gathers news of some candidates before one of them is chosen."""
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_registry.py
@@ -49,6 +49,7 @@
     VM_LIST_SOURCE = 'vm-list-source'
     PEER_TRANSPORT = 'peer-transport'
     OPERATOR_PAGE = 'operator-page'
+    HEDGE_RULE = 'hedge-rule'
     LOAD_SURVEY = 'load-survey'
     RETRY_ADVICE = 'retry-advice'
     READINESS_RULE = 'readiness-rule'
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -1,7 +1,7 @@
 """What callers are told, whatever an upstream does."""
 
 import pytest
-from wires import GET, HEAD
+from wires import GET, HEAD, FrontEndRig
 
 from figdoor_kernel import AttemptEnded, AttemptSent
 
@@ -225,3 +225,47 @@
         connection.dataReceived(b'2\r\nbc\r\n0\r\nX-Trailer: 1\r\n\r\n')
         assert sending.late_body == b'bc'
         assert sending.finished
+
+
+class EarlyHedge:
+    """Begins a second attempt 10 ms after the first was sent."""
+
+    def __init__(self, node):
+        pass
+
+    def hedge_ms(self, routed, upstream, sent_ms):
+        return sent_ms + 10
+
+
+class TestSecondAttempt:
+    def rig(self, monkeypatch):
+        rig = FrontEndRig(monkeypatch)
+        rule = EarlyHedge(rig.node)
+        rig.front_end.dispatcher.hedge_rules = (rule,)
+        connection, wire = rig.request()
+        rig.clock.advance_ms(10)
+        assert len(rig.sendings) == 2
+        return rig, wire
+
+    def test_first_answer_wins_and_the_other_is_cancelled(self, monkeypatch):
+        """Guards against a caller that gets parts of two answers."""
+        rig, wire = self.rig(monkeypatch)
+        first, second = rig.sendings
+        second.answer(body=b'second')
+        assert first.cancelled
+        assert wire.value().endswith(b'second')
+        assert wire.value().count(b'HTTP/1.1') == 1
+
+    def test_caller_that_leaves_cancels_both(self, monkeypatch):
+        rig, _ = self.rig(monkeypatch)
+        (connection,) = rig.front_end._connections
+        connection.connectionLost()
+        assert all(sending.cancelled for sending in rig.sendings)
+
+    def test_loss_of_one_is_not_told(self, monkeypatch):
+        rig, wire = self.rig(monkeypatch)
+        first, second = rig.sendings
+        first.receiver.lost(connection_died=True)
+        assert not wire.value()
+        second.answer(body=b'second')
+        assert wire.value().endswith(b'second')
