--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/_advice.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_advice.py
@@ -8,6 +8,10 @@
 # within its objective where the work takes its usual time.
 EARLIEST_SHARE = 0.1
 LATEST_SHARE = 0.4
+# A call that upstreams shed was placed where there was room, so that another
+# try at once may well succeed. The little time spreads those that were shed
+# together.
+LATEST_SHED_SHARE = 0.05
 
 
 class SpreadAdvice:
@@ -19,13 +23,14 @@
 
     def retry_after_ms(
         self,
-        refusal: Refusal,
+        refusal: Refusal | None,
         routed: RoutedCall | None,
         now_ms: float,
     ) -> float:
-        """Return a random time."""
+        """Return a random time, a short one where the call was shed."""
         objective_ms = routed.route.objective_ms if routed else 0
-        share = EARLIEST_SHARE + self._random.random() * (
-            LATEST_SHARE - EARLIEST_SHARE
-        )
-        return share * (objective_ms or DEFAULT_OBJECTIVE_MS)
+        objective_ms = objective_ms or DEFAULT_OBJECTIVE_MS
+        if refusal is None:
+            return self._random.uniform(0, LATEST_SHED_SHARE) * objective_ms
+        share = self._random.uniform(EARLIEST_SHARE, LATEST_SHARE)
+        return share * objective_ms
--- a/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_dispatcher.py
@@ -149,9 +149,7 @@
         """Return when a call that was not run may be tried again."""
         if outcome is not Outcome.NOT_RUN or not self.retry_advice:
             return None
-        reason = refusal or Refusal.NO_UPSTREAM
-        advice = self.retry_advice[0]
-        return advice.retry_after_ms(reason, routed, now_ms)
+        return self.retry_advice[0].retry_after_ms(refusal, routed, now_ms)
 
     def _route(self, call: Call, now_ms: float) -> RoutedCall | None:
         tables = self.node.tables
--- a/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_protocols.py
@@ -137,11 +137,15 @@
 
     def retry_after_ms(
         self,
-        refusal: Refusal,
+        refusal: Refusal | None,
         routed: RoutedCall | None,
         now_ms: float,
     ) -> float:
-        """Return the time to wait, in milliseconds."""
+        """Return the time to wait, in milliseconds.
+
+        ``refusal`` is ``None`` where upstreams shed the call or took no
+        connection.
+        """
 
 
 class ReadinessRule(Protocol):
