--- a/packages/figdoor-decisions/src/figdoor_decisions/suspects/_suspects.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/suspects/_suspects.py
@@ -16,10 +16,10 @@
     UpstreamId,
 )
 
-DEATHS_TO_QUARANTINE = 2
 # A request that was answered lately is more likely a bystander: in a burst of
-# deaths, popular requests are in flight at each of them.
-DEATHS_TO_QUARANTINE_ANSWERED = 3
+# deaths, popular requests are in flight at each of them. It takes this many
+# deaths more than the settings say.
+MORE_DEATHS_IF_ANSWERED = 1
 # Such a request is tried again after this time, which doubles with each
 # further death, so that a bystander comes back soon.
 FIRST_TRIAL_MS = 1000.0
@@ -61,10 +61,10 @@
         if not deaths:
             self._deaths.drop(suspect)
             return False
-        limit = DEATHS_TO_QUARANTINE
+        limit = self._node.options.quarantine_deaths
         length_ms = self._node.options.quarantine_ms
         if self._was_answered_before(suspect, deaths):
-            limit = DEATHS_TO_QUARANTINE_ANSWERED
+            limit += MORE_DEATHS_IF_ANSWERED
             trials = max(0, len(deaths) - limit)
             length_ms = min(length_ms, FIRST_TRIAL_MS * 2**trials)
         if len(deaths) < limit:
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -213,6 +213,13 @@
         NumberReader(100, 600_000),
         'time over which retries and requests are counted',
     ),
+    Option(
+        'quarantine_deaths',
+        '2',
+        NumberReader(2, 10),
+        'upstreams that must die under a request before it is refused; more '
+        'where connections are reset without a death',
+    ),
     Option(
         'retry_failed_answers',
         'no',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -25,6 +25,7 @@
     subset_size: int = 20
     config_reads_per_s: float = 200
     quarantine_ms: float = 60_000
+    quarantine_deaths: int = 2
     evidence_ms: float = 30_000
     fleet_nodes: int = 32
     retry_budget_percent: float = 20
