--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/__init__.py
@@ -12,6 +12,7 @@
     SHED,
     end_to_end,
     read_load_report,
+    read_time_left_ms,
 )
 from figdoor_kernel import Extension, Node, Registry
 
@@ -28,6 +29,7 @@
     'SHED',
     'end_to_end',
     'read_load_report',
+    'read_time_left_ms',
 )
 
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/_dialect.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/_dialect.py
@@ -12,6 +12,7 @@
     REASON,
     SHED,
     read_load_report,
+    read_time_left_ms,
 )
 from figdoor_gateway.protocols import (
     AnswerFacts,
@@ -56,10 +57,7 @@
 
     def time_left_ms(self, headers: Headers) -> float | None:
         """Read the first deadline header."""
-        for name, text in headers:
-            if name == DEADLINE:
-                return float(text) if text.isdigit() else None
-        return None
+        return read_time_left_ms(headers, DEADLINE)
 
     def request_headers(
         self,
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
@@ -61,6 +61,20 @@
     return kept
 
 
+def read_time_left_ms(
+    headers: Iterable[tuple[bytes, bytes]],
+    name: bytes,
+) -> float | None:
+    """Return the first header of that name as milliseconds.
+
+    A text that is no whole number counts as none.
+    """
+    for known, text in headers:
+        if known == name:
+            return float(text) if text.isdigit() else None
+    return None
+
+
 @lru_cache(maxsize=KNOWN_REPORTS)
 def read_load_report(text: bytes) -> LoadReport | None:
     """Read ``running=3, instance=ab12, draining=0``.
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
@@ -1,11 +1,9 @@
 """Takes published items from peers and gives them, over TCP."""
 
-from twisted.internet.protocol import ServerFactory
-
 from figdoor_decisions.published import PublishedItems, StoreReadingPlan
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_gateway.peers._addresses import Addresses
-from figdoor_gateway.peers._counters import RECEIVED, SENT, PeerCounters
+from figdoor_gateway.peers._counters import RECEIVED, PeerCounters
 from figdoor_gateway.peers._item_frames import (
     ItemsAnswer,
     ItemsRequest,
@@ -16,7 +14,7 @@
 )
 from figdoor_gateway.peers._schema import MalformedMessage
 from figdoor_gateway.peers._sync_client import TIMEOUT_MS, AskingFactory
-from figdoor_gateway.peers._sync_server import MAX_CONNECTIONS, Answering
+from figdoor_gateway.peers._sync_server import PeerServer
 from figdoor_kernel import Extension, ItemsBehind, ItemsRead, Node
 
 
@@ -77,11 +75,9 @@
         self._plan.learn_from_peer()
 
 
-class ItemsServer(ServerFactory):
+class ItemsServer(PeerServer):
     """Answers peers that lack published items."""
 
-    noisy = False
-
     def __init__(
         self,
         node: Node,
@@ -89,46 +85,22 @@
         counters: PeerCounters,
     ) -> None:
         """Answer from what this node knows."""
-        self.counters = counters
-        self.open_connections = 0
+        super().__init__(addresses, counters)
         self._node = node
-        self._addresses = addresses
         self._items: PublishedItems = node.part(
             Extension.SERVICE,
             'published-items',
         )
 
-    def buildProtocol(self, addr: object) -> Answering:  # noqa: N802
-        """Take a connection."""
-        self.open_connections += 1
-        return Answering(self)
-
-    def admit(self, host: str) -> bool:
-        """Return whether to answer on one more connection from there."""
-        if not self._addresses.has_host(host):
-            self.counters.drop('unlisted-sender')
-            return False
-        if self.open_connections > MAX_CONNECTIONS:
-            self.counters.drop('too-many-connections')
-            return False
-        return True
-
-    def answer(self, frame: bytes) -> bytes | None:
-        """Return the frame of the answer, ``None`` for a malformed one."""
-        try:
-            request = decode_items_request(frame)
-        except MalformedMessage:
-            self.counters.drop('malformed')
-            return None
+    def make_answer(self, frame: bytes) -> tuple[str, bytes]:
+        """Return what changed after the revision asked about."""
+        request = decode_items_request(frame)
         self.counters.count(RECEIVED, ItemsRequest.__name__, len(frame))
         changes = self._items.changes_after(request.after)
-        now_ms = self._node.clock.now_ms()
         answer = ItemsAnswer(
             changes.as_of,
             changes.is_whole,
-            self._items.age_ms(now_ms),
+            self._items.age_ms(self._node.clock.now_ms()),
             changes.items,
         )
-        encoded = encode_items_answer(answer)
-        self.counters.count(SENT, ItemsAnswer.__name__, len(encoded))
-        return encoded
+        return ItemsAnswer.__name__, encode_items_answer(answer)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_server.py
@@ -1,7 +1,7 @@
 """Answers peers that are behind, over TCP."""
 
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import Int32StringReceiver
@@ -24,25 +24,12 @@
 MAX_CONNECTIONS = 16
 
 
-class AnsweringServer(Protocol):
-    """What a connection needs of the server that made it."""
-
-    open_connections: int
-    counters: PeerCounters
-
-    def admit(self, host: str) -> bool:
-        """Return whether to answer on one more connection from there."""
-
-    def answer(self, frame: bytes) -> bytes | None:
-        """Return the frame of the answer, ``None`` for a malformed one."""
-
-
 class Answering(Int32StringReceiver):
     """One connection: one question, one answer."""
 
     MAX_LENGTH = MAX_REQUEST_BYTES
 
-    def __init__(self, server: AnsweringServer) -> None:
+    def __init__(self, server: 'PeerServer') -> None:
         """Answer as the server says."""
         self._server = server
         self._timer: Timer | None = None
@@ -75,23 +62,16 @@
         super().lengthLimitExceeded(length)
 
 
-class SyncServer(ServerFactory):
-    """Makes the protocols and knows the answers."""
+class PeerServer(ServerFactory):
+    """Makes the protocols; a subclass knows the answers."""
 
     noisy = False
 
-    def __init__(
-        self,
-        node: Node,
-        addresses: Addresses,
-        counters: PeerCounters,
-    ) -> None:
-        """Begin to record the changes of the tables."""
+    def __init__(self, addresses: Addresses, counters: PeerCounters) -> None:
+        """Start without connections."""
         self.counters = counters
         self.open_connections = 0
-        self._node = node
         self._addresses = addresses
-        self._history = History(node)
 
     def buildProtocol(self, addr: object) -> Answering:  # noqa: N802
         """Take a connection."""
@@ -111,15 +91,38 @@
     def answer(self, frame: bytes) -> bytes | None:
         """Return the frame of the answer, ``None`` for a malformed one."""
         try:
-            request = decode_request(frame)
+            kind, encoded = self.make_answer(frame)
         except MalformedMessage:
             self.counters.drop('malformed')
             return None
+        self.counters.count(SENT, kind, len(encoded))
+        return encoded
+
+    def make_answer(self, frame: bytes) -> tuple[str, bytes]:
+        """Return kind and frame; raises ``MalformedMessage``."""
+        raise NotImplementedError
+
+
+class SyncServer(PeerServer):
+    """Answers peers whose tables are behind."""
+
+    def __init__(
+        self,
+        node: Node,
+        addresses: Addresses,
+        counters: PeerCounters,
+    ) -> None:
+        """Begin to record the changes of the tables."""
+        super().__init__(addresses, counters)
+        self._node = node
+        self._history = History(node)
+
+    def make_answer(self, frame: bytes) -> tuple[str, bytes]:
+        """Return what was accepted after the revision asked about."""
+        request = decode_request(frame)
         self.counters.count(RECEIVED, SyncRequest.__name__, len(frame))
         answer = self._history.answer(request)
         if request.wants_vm_list:
             vms = self._node.fleet.vm_list.vms
             answer = replace(answer, vms=vms)
-        encoded = encode_answer(answer)
-        self.counters.count(SENT, type(answer).__name__, len(encoded))
-        return encoded
+        return type(answer).__name__, encode_answer(answer)
