--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_members.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_members.py
@@ -81,14 +81,6 @@
             for member in self._others.values()
         )
 
-    def is_neighbour_zone(self, node_id: NodeId) -> bool:
-        """Return whether a node is in the availability zone of this one."""
-        member = self._others.get(node_id)
-        if member is None:
-            return False
-        zone = member.vm.availability_zone
-        return zone == self._node.availability_zone
-
     def rows(self, now_ms: float) -> tuple[tuple[Vm, ...], tuple[int, ...]]:
         """Return this node and some others, with their ages."""
         names = list(self._others)
--- a/packages/figdoor-decisions/src/figdoor_decisions/surveys/_survey.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/_survey.py
@@ -1,7 +1,7 @@
 """Which upstreams are probed for a call, and how long it waits for them."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from figdoor_decisions.surveys._loads import FreshLoads
 from figdoor_kernel import (
@@ -48,7 +48,6 @@
 
     routed: RoutedCall
     rounds: int = 0
-    asked: set[UpstreamId] = field(default_factory=set)
 
 
 class ProbeSurvey(LoadSurvey):
@@ -85,7 +84,6 @@
             for upstream in samples
             if not self._loads.is_fresh(upstream, now_ms)
         ]
-        course.asked.update(upstream.upstream_id for upstream in samples)
         if not asked:
             return now_ms
         pending = {upstream.upstream_id for upstream in asked}
--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -47,7 +47,6 @@
         retry_budget_window_ms=settings.retry_budget_window_ms,
         quarantine_deaths=int(settings.quarantine_deaths),
         retry_failed_answers=settings.retry_failed_answers,
-        cold_excess_percent=settings.cold_excess_percent,
         stop_limit_ms=settings.stop_limit_ms,
         seeds=tuple(map(str, settings.seeds)),
         peer_address=str(settings.peer_listen),
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -227,12 +227,6 @@
         'whether an idempotent request is tried again after an upstream '
         'answered with an error of its own',
     ),
-    Option(
-        'cold_excess_percent',
-        '0',
-        NumberReader(0, 1000),
-        'what an upstream in a cold start bears above its rate',
-    ),
     Option(
         'log_format',
         'text',
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -33,7 +33,6 @@
     retry_budget_window_ms: float
     quarantine_deaths: float
     retry_failed_answers: bool
-    cold_excess_percent: float
     log_format: str
     log_level: str
     stop_grace_ms: float
--- a/packages/figdoor-kernel/src/figdoor_kernel/_node.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_node.py
@@ -31,7 +31,6 @@
     retry_budget_percent: float = 20
     retry_budget_burst: float = 60
     retry_budget_window_ms: float = 10_000
-    cold_excess_percent: float = 0
     stop_limit_ms: float = 0
     retry_failed_answers: bool = False
     seeds: tuple[str, ...] = ()
