--- a/packages/figdoor-decisions/src/figdoor_decisions/surveys/_survey.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/_survey.py
@@ -48,6 +48,7 @@
 
     routed: RoutedCall
     rounds: int = 0
+    was_resumed: bool = False
 
 
 class ProbeSurvey(LoadSurvey):
@@ -94,8 +95,13 @@
         return survey.until_ms
 
     def resume_ms(self, routed: RoutedCall, now_ms: float) -> float | None:
-        """Wait for a part of the objective; the second survey is at once."""
-        if self.rounds(routed) == 1:
+        """Wait for a part of the objective; the second survey is at once.
+
+        That is granted once, since there may be nothing left to probe.
+        """
+        course = self._courses.get(id(routed))
+        if course and course.rounds == 1 and not course.was_resumed:
+            course.was_resumed = True
             return now_ms
         objective_ms = routed.route.objective_ms or DEFAULT_OBJECTIVE_MS
         resumes_ms = now_ms + RESURVEY_MS
--- a/tests/decisions/test_surveys.py
+++ b/tests/decisions/test_surveys.py
@@ -3,7 +3,15 @@
 import pytest
 from store_fleet import StoreNode, worker
 
-from figdoor_kernel import Finish, Outcome, Refusal, Send, Wait
+from figdoor_kernel import (
+    AttemptResult,
+    AttemptState,
+    Finish,
+    Outcome,
+    Refusal,
+    Send,
+    Wait,
+)
 
 
 class TestPlacement:
@@ -111,6 +119,26 @@
         rig.answer_probes()
         assert isinstance(exchange.next_step(rig.now_ms), Send)
 
+    def test_call_without_candidates_does_not_spin(self):
+        """Guards against a loop that asks again without a pause.
+
+        The one upstream was tried, so that there is nothing left to probe.
+        """
+        rig = StoreNode(worker('a'))
+        rig.set_load('a')
+        exchange = rig.open()
+        rig.place(exchange)
+        assert exchange.confirm_send(rig.now_ms)
+        exchange.end(AttemptResult(AttemptState.SHED), rig.now_ms)
+        pauses_ms = []
+        step = exchange.next_step(rig.now_ms)
+        while isinstance(step, Wait) and len(pauses_ms) < 50:
+            pauses_ms.append(step.until_ms - rig.now_ms)
+            rig.clock.advance_ms(step.until_ms - rig.now_ms)
+            step = exchange.next_step(rig.now_ms)
+        assert isinstance(step, Finish)
+        assert sum(pause_ms <= 0 for pause_ms in pauses_ms) <= 1
+
 
 class TestProbes:
     def test_fresh_answer_is_not_asked_for_again(self):
