--- a/tests/decisions/test_fleet_budget.py
+++ b/tests/decisions/test_fleet_budget.py
@@ -5,9 +5,8 @@
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
-    Extension,
     Finish,
-    Send,
+    Splitter,
     Wait,
 )
 
@@ -58,14 +57,14 @@
             assert storm.call() <= 2
 
     def test_window_forgets(self):
+        """Guards against retries that are saved up over a quiet time."""
         storm = Storm()
         for _ in range(100):
             storm.call()
         storm.rig.clock.advance_ms(20_000)
-        budget = storm.rig.node.part(Extension.RETRY_RULE, 'fleet-budget')
-        assert not budget._has_room('work', storm.rig.now_ms) or (
-            60 / 32 * 0.8 >= 1
-        )
+        # A fifth of the new calls, and this node's part of the burst.
+        sent = sum(storm.call() for _ in range(5))
+        assert sent <= 5 + 0.2 * 5 + 60 / 32
 
     def test_non_idempotent_call_is_never_sent_twice(self):
         """Guards against a deposit that is registered twice."""
@@ -79,11 +78,9 @@
 
 class TestSplit:
     def test_parts_get_their_weights(self):
-        split = (('work', 90.0), ('other', 10.0))
-        from figdoor_kernel import Splitter
-
+        """Guards against a part of a split that gets too much at a time."""
         splitter = Splitter()
+        split = (('work', 90.0), ('other', 10.0))
         picked = [splitter.pick(route(split=split)) for _ in range(100)]
         assert picked.count('other') == 10
         assert 'other' in picked[:10]
-        assert isinstance(Send, type)
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -163,9 +163,7 @@
         """Guards against nodes that trust old items of a cut-off reader."""
         fleet = self.fleet()
         fleet.run(1000)
-        now_ms = fleet.clock.now_ms()
         other = next(n for n in fleet.nodes if n not in fleet.readers())
         items = fleet.part(other, 'published-items')
         fleet.run(3000)
         assert items.age_ms(fleet.clock.now_ms()) >= 2000
-        assert now_ms
