--- a/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
@@ -64,7 +64,7 @@
         now_ms: float,
     ) -> Verdict:
         """Allow warm upstreams, and cold ones at this node's turn."""
-        if not self._is_cold(upstream, now_ms):
+        if not self._loads.is_cold(upstream, now_ms):
             return ALLOW
         cold_per_s = routed.pool.cold_per_s
         if not cold_per_s:
@@ -77,11 +77,6 @@
             self._turns[upstream.upstream_id] = turn
         return ALLOW if now_ms >= turn.next_ms else DENY
 
-    def _is_cold(self, upstream: Upstream, now_ms: float) -> bool:
-        if upstream.warm_at_ms > now_ms:
-            return True
-        return self._loads.is_cold(upstream, now_ms)
-
     def _interval_ms(self, cold_per_s: float) -> float:
         return share_interval_ms(cold_per_s, fleet_size(self._node))
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/surveys/_chooser.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/_chooser.py
@@ -44,7 +44,7 @@
             for upstream in candidates
             if self._loads.is_fresh(upstream, now_ms)
         ]
-        warm = [one for one in fresh if not self._is_cold(one, now_ms)]
+        warm = [one for one in fresh if not self._loads.is_cold(one, now_ms)]
         local = [one for one in warm if self._is_local(one)]
         best, slowness = self._best(local, now_ms)
         if slowness <= GOOD_SLOWNESS:
@@ -71,11 +71,6 @@
     def _is_local(self, upstream: Upstream) -> bool:
         return upstream.availability_zone == self._availability_zone
 
-    def _is_cold(self, upstream: Upstream, now_ms: float) -> bool:
-        if upstream.warm_at_ms > now_ms:
-            return True
-        return self._loads.is_cold(upstream, now_ms)
-
     def _slowness(self, upstream: Upstream, now_ms: float) -> float:
         slowness = self._loads.slowness(upstream, now_ms)
         if slowness is None:
--- a/packages/figdoor-decisions/src/figdoor_decisions/surveys/_loads.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/surveys/_loads.py
@@ -62,7 +62,9 @@
         return load is not None and now_ms - load.probed_at_ms <= FRESH_MS
 
     def is_cold(self, upstream: Upstream, now_ms: float) -> bool:
-        """Return whether the upstream said that it is in a cold start."""
+        """Return whether the upstream's entry or a probe says so."""
+        if upstream.warm_at_ms > now_ms:
+            return True
         load = self._loads.get(upstream.upstream_id)
         if load is None or load.report is None:
             return False
--- a/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_calls.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_calls.py
@@ -9,9 +9,7 @@
     AttemptStarted,
     CallClosed,
     Node,
-    ReportSeen,
     RoutedCall,
-    UpstreamId,
 )
 
 
@@ -27,11 +25,9 @@
     """Collects attempts with the reports that decided where they went."""
 
     def __init__(self, node: Node) -> None:
-        """Follow attempts and reports."""
+        """Follow attempts; the fleet keeps the reports."""
         self._node = node
         self._records: dict[int, _Record] = {}
-        self._reports_ms: dict[UpstreamId, float] = {}
-        node.events.subscribe(ReportSeen, self._on_report)
         node.events.subscribe(AttemptStarted, self._on_started)
         node.events.subscribe(AttemptSent, self._on_sent)
         node.events.subscribe(AttemptEnded, self._on_ended)
@@ -58,9 +54,6 @@
                 fields['attempts'] = list(record.attempts.values())
         return fields
 
-    def _on_report(self, event: ReportSeen) -> None:
-        self._reports_ms[event.upstream] = event.now_ms
-
     def _on_started(self, event: AttemptStarted) -> None:
         routed = event.routed
         record = self._records.setdefault(id(routed), _Record(routed))
@@ -68,12 +61,12 @@
         upstream = self._node.fleet.find(event.upstream)
         if upstream is not None and upstream.report is not None:
             report = upstream.report
-            seen_ms = self._reports_ms.get(event.upstream, event.now_ms)
+            age_ms = event.now_ms - upstream.report_at_ms
             attempt['load'] = (
                 f'{report.running}+{report.waiting}/{report.slots}'
                 f' x{report.slowness:g}'
             )
-            attempt['load_age_ms'] = round(event.now_ms - seen_ms, 1)
+            attempt['load_age_ms'] = round(age_ms, 1)
         attempt['after_ms'] = round(event.now_ms - routed.opened_ms, 1)
         record.attempts[event.attempt_id] = attempt
 
