--- a/packages/figdoor-ctl/src/figdoor_ctl/commands/__init__.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/commands/__init__.py
@@ -1,9 +1,12 @@
 """The commands of ``figdoor-ctl``, in the order in which help lists them."""
 
 from figdoor_ctl.commands._check import CHECK
+from figdoor_ctl.commands._explain import EXPLAIN
 from figdoor_ctl.commands._replay import REPLAY
 from figdoor_ctl.commands._status import STATUS
 
-COMMANDS = {command.name: command for command in (CHECK, STATUS, REPLAY)}
+COMMANDS = {
+    command.name: command for command in (CHECK, STATUS, REPLAY, EXPLAIN)
+}
 
 __all__ = ('COMMANDS',)
--- /dev/null
+++ b/standins/src/figdoor_standins/store_worker.py
@@ -0,0 +1,95 @@
+"""A stand-in worker that speaks the platform's headers.
+
+``python -m figdoor_standins.store_worker --port 9001 --worker_id i-1`` runs
+each request for ``--work_ms``, signs its answers, refuses requests that
+expect another instance with 421, and counts what it ran by request id.
+``GET /_runs`` returns the counts; ``POST /_mode?mode=M`` sets ``well``,
+``draining``, ``full`` (refuses with the mark), ``failing`` (answers 500) or
+``mute`` (runs and never answers).
+"""
+
+import json
+import sys
+from collections import Counter
+
+from absl import app as absl_app
+from absl import flags
+from klein import Klein
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.web.server import Site
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer('port', 9001, 'port on loopback')
+flags.DEFINE_string('worker_id', 'i-1', 'id of this start')
+flags.DEFINE_float('work_ms', 5, 'time that a request takes')
+SLOTS = 6
+
+
+class Worker:
+    """Counts what it ran and what runs now."""
+
+    app = Klein()
+
+    def __init__(self):
+        self.mode = 'well'
+        self.running = 0
+        self.runs = Counter()
+
+    @app.route('/healthz')
+    def health(self, request):
+        request.setHeader('Instance-Id', FLAGS.worker_id)
+        request.setHeader('Instance-Load', f'{self.running},0,{SLOTS},100')
+        if self.mode == 'draining':
+            request.setResponseCode(503)
+        return b''
+
+    @app.route('/_runs')
+    def counts(self, request):
+        return json.dumps(self.runs).encode()
+
+    @app.route('/_mode', methods=['POST'])
+    def set_mode(self, request):
+        self.mode = request.args[b'mode'][0].decode()
+        return b'ok'
+
+    @app.route('/work/<path:rest>', methods=['GET', 'POST'])
+    def work(self, request, rest):
+        request_id = request.getHeader('request-id') or ''
+        request.setHeader('Request-Id', request_id)
+        if request.getHeader('expected-instance') != FLAGS.worker_id:
+            request.setResponseCode(421)
+            return b''
+        if self.mode == 'full':
+            request.setResponseCode(503)
+            request.setHeader('Not-Executed', '1')
+            return b''
+        self.runs[request_id] += 1
+        self.running += 1
+        if self.mode == 'mute':
+            return Deferred()
+        ended = deferLater(reactor, FLAGS.work_ms / 1000, self.end, request)
+        request.notifyFinish().addErrback(lambda _: ended.cancel())
+        return ended.addErrback(lambda _: b'')
+
+    def end(self, request):
+        self.running -= 1
+        request.setHeader('Server-Signature', f'{FLAGS.worker_id}.1')
+        if self.mode == 'failing':
+            request.setResponseCode(500)
+        return FLAGS.worker_id.encode()
+
+
+def main(_):
+    """Serve until SIGTERM."""
+    site = Site(Worker().app.resource())
+    site.noisy = False
+    reactor.listenTCP(FLAGS.port, site, interface='127.0.0.1', backlog=512)
+    sys.stdout.write('ready\n')
+    sys.stdout.flush()
+    reactor.run()
+
+
+if __name__ == '__main__':
+    absl_app.run(main)
--- /dev/null
+++ b/tests/processes/test_store_deployment.py
@@ -0,0 +1,259 @@
+"""Nodes as processes that follow a store, with workers that register there."""
+
+import json
+import sys
+import time
+from contextlib import ExitStack
+from signal import SIGHUP, SIGTERM
+
+import pytest
+
+from figdoor_standins.ports import free_port
+from figdoor_standins.processes import BIN, Process, http, wait_until
+
+pytestmark = pytest.mark.processes
+
+SERVICE = {
+    'Name': 'work',
+    'HealthPath': '/healthz',
+    'MaxConnections': 240,
+    'Warmup': '3s',
+    'WarmupPerS': 6.0,
+}
+LIMITS = {
+    'MaxHeaderBytes': 16384,
+    'MaxBodyBytes': 100_000,
+    'HeaderTimeout': '3s',
+    'IdleTimeout': '15s',
+}
+
+
+def configuration(kind='idempotent', **changes):
+    path = {
+        'Name': 'r',
+        'Prefix': '/work/',
+        'Type': kind,
+        'Timeout': '2s',
+        'TargetLatency': '500ms',
+        'Priority': 0,
+        'Service': 'work',
+        'MaxAttempts': 3,
+        **changes,
+    }
+    return {
+        'Version': 1,
+        'Services': [SERVICE],
+        'Limits': LIMITS,
+        'Hosts': [{'Host': 'any.example', 'Paths': [path]}],
+    }
+
+
+class Rig:
+    """A store, workers and nodes; ends what it started."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.stack = ExitStack()
+        self.store_port = free_port()
+        self.workers = {}
+        self.nodes = {}
+        self.peer_ports = [free_port(), free_port()]
+        self.sequence = 0
+        self.own(self.module('store', self.store_port))
+        wait_until(lambda: http(self.store_port, '/_calls')[0] == 200)
+
+    def own(self, process):
+        self.stack.callback(process.kill)
+        return process
+
+    def module(self, name, port, *flags):
+        module = f'figdoor_standins.{name}'
+        command = [sys.executable, '-m', module, f'--port={port}', *flags]
+        return Process(command)
+
+    def put(self, key, value):
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        http(self.store_port, f'/_put?key={key}', 'POST', body)
+
+    def add_worker(self, name, state='ready'):
+        if name not in self.workers:
+            port = free_port()
+            flag = f'--worker_id={name}'
+            self.own(self.module('store_worker', port, flag))
+            wait_until(lambda: http(port, '/_runs')[0] == 200)
+            self.workers[name] = port
+        self.sequence += 1
+        entry = {
+            'Service': 'work',
+            'Address': f'127.0.0.1:{self.workers[name]}',
+            'Zone': 'z1',
+            'Version': 'v1',
+            'Capacity': 6,
+            'State': state,
+            'WarmupLeft': '0ms',
+            'Sequence': self.sequence,
+            'born': 1,
+        }
+        self.put(f'servers/{name}', entry)
+
+    def set_mode(self, name, mode):
+        http(self.workers[name], f'/_mode?mode={mode}', 'POST', b'')
+
+    def runs(self):
+        """Return how often each request was run, over all workers."""
+        total = {}
+        for port in self.workers.values():
+            for name, count in json.loads(http(port, '/_runs')[2]).items():
+                total[name] = total.get(name, 0) + count
+        return total
+
+    def add_node(self, number=0, **flags):
+        port, pages = free_port(), free_port()
+        seeds = ','.join(f'127.0.0.1:{one}' for one in self.peer_ports)
+        settings = {
+            'node_id': f'n{number}',
+            'availability_zone': 'z1',
+            'listen': f'127.0.0.1:{port}',
+            'operator_listen': f'127.0.0.1:{pages}',
+            'peer_listen': f'127.0.0.1:{self.peer_ports[number]}',
+            'seeds': seeds,
+            'platform_url': f'http://127.0.0.1:{self.store_port}',
+            'deployment': 'store',
+            'dialect': 'platform',
+            'chooser': 'expected-time',
+            'log_format': 'json',
+            'stop_grace_ms': 300,
+            'stop_limit_ms': 3000,
+            'kept_connection_ms': 300,
+            'retry_failed_answers': 'yes',
+            **flags,
+        }
+        path = self.folder / f'n{number}.flags'
+        lines = [f'--{name}={text}' for name, text in settings.items()]
+        path.write_text('\n'.join(lines))
+        command = [str(BIN / 'figdoor'), f'--flagfile={path}']
+        log = str(self.folder / f'n{number}.log')
+        process = self.own(Process(command, log_path=log))
+        self.nodes[number] = (process, port, pages)
+        return process
+
+    def wait_ready(self):
+        for _, _, pages in self.nodes.values():
+            wait_until(lambda: http(pages, '/readyz')[0] == 200)
+
+    def ask(self, request_id, node=0, method='GET'):
+        headers = {
+            'Host': 'any.example',
+            'Request-Id': request_id,
+            'Deadline-Ms': '1500',
+        }
+        body = b'{}' if method == 'POST' else None
+        _, port, _ = self.nodes[node]
+        status, told, answer = http(port, '/work/x', method, body, headers)
+        lower = {name.lower(): text for name, text in told.items()}
+        return status, lower, answer
+
+    def status(self, request_id, **more):
+        return self.ask(request_id, **more)[0]
+
+
+@pytest.fixture
+def rig(tmp_path):
+    rig = Rig(tmp_path)
+    rig.put('op/config', configuration())
+    rig.add_worker('i-1')
+    rig.add_worker('i-2')
+    rig.add_node()
+    rig.wait_ready()
+    yield rig
+    rig.stack.close()
+
+
+class TestRequests:
+    def test_answer_is_the_worker_s(self, rig):
+        status, headers, body = rig.ask('a1')
+        assert (status, headers['request-id']) == (200, 'a1')
+        assert headers['server-signature'].encode() == body + b'.1'
+
+    def test_idempotent_request_is_answered_in_spite_of_a_failing_worker(
+        self, rig
+    ):
+        """Guards against errors that another worker would not have made."""
+        rig.set_mode('i-1', 'failing')
+        assert [rig.status(f'b{number}') for number in range(6)] == [200] * 6
+
+    def test_full_worker_is_left_for_another(self, rig):
+        rig.set_mode('i-1', 'full')
+        assert {rig.status(f'c{number}') for number in range(6)} == {200}
+
+    def test_request_that_must_not_run_twice_is_not_sent_twice(self, rig):
+        """Guards against a second run after a lost answer."""
+        rig.put('op/config', configuration('non_idempotent'))
+        time.sleep(1)
+        rig.set_mode('i-1', 'mute')
+        rig.set_mode('i-2', 'mute')
+        assert rig.status('d1', method='POST') in {502, 504}
+        assert rig.runs()['d1'] == 1
+
+
+class TestStore:
+    def test_draining_worker_gets_nothing_new(self, rig):
+        rig.add_worker('i-1', state='draining')
+        time.sleep(1)
+        answers = {rig.ask(f'e{number}')[2] for number in range(8)}
+        assert answers == {b'i-2'}
+
+    def test_route_that_was_dropped_is_gone_and_comes_back(self, rig):
+        rig.put('op/config', configuration(Prefix='/other/'))
+        wait_until(lambda: rig.status('f1') == 404, 3)
+        rig.put('op/config', configuration())
+        wait_until(lambda: rig.status('f2') == 200, 3)
+
+    def test_evacuated_zone_gets_nothing(self, rig):
+        rig.put('op/evacuate/z1', b'{}')
+        wait_until(lambda: rig.status('g1') == 503, 3)
+
+    def test_lost_history_is_made_good(self, rig):
+        http(rig.store_port, '/_forget', 'POST', b'')
+        rig.put('op/config', configuration(Prefix='/other/'))
+        wait_until(lambda: rig.status('h1') == 404, 4)
+
+    @pytest.mark.parametrize('status', [503, 429, 0])
+    def test_node_serves_on_while_the_store_is_away(self, rig, status):
+        """Guards against callers that suffer from a store that is down."""
+        http(rig.store_port, f'/_mode?status={status}', 'POST', b'')
+        time.sleep(2.5)
+        assert rig.status('i1') == 200
+        http(rig.store_port, '/_mode?status=200', 'POST', b'')
+        rig.put('op/config', configuration(Prefix='/other/'))
+        wait_until(lambda: rig.status('i2') == 404, 6)
+
+    def test_two_nodes_follow_the_same_changes(self, rig):
+        rig.add_node(1)
+        rig.wait_ready()
+        rig.put('op/config', configuration(Prefix='/other/'))
+        for node in (0, 1):
+            wait_until(lambda: rig.status('j1', node=node) == 404, 3)
+
+
+class TestSignals:
+    def test_settings_reload_cuts_nothing(self, rig):
+        process, _, _ = rig.nodes[0]
+        process.send(SIGHUP)
+        time.sleep(0.3)
+        assert rig.status('k1') == 200
+
+    def test_stop_is_graceful_and_told(self, rig):
+        process, _, pages = rig.nodes[0]
+        process.send(SIGTERM)
+        wait_until(lambda: http(pages, '/readyz')[0] == 503, 2)
+        assert process.child.wait(10) == 0
+        log = (rig.folder / 'n0.log').read_text()
+        assert '"event": "stop"' in log
+
+
+class TestLog:
+    def test_request_can_be_explained_from_its_id(self, rig):
+        rig.ask('m1')
+        path = rig.folder / 'n0.log'
+        wait_until(lambda: '"request": "m1"' in path.read_text(), 3)
