Serve large responses and bound every field that the store holds

Cause: one route of type "download" took the whole configuration of a site out of force, so that its nodes served nothing. An entry whose port had 5,000 digits raised past the decoder, so that the event that carried it failed, and an exception of any subscriber to a tick ended the ticks of the node for good: it then neither read the store nor stopped. Each field of entries, configurations, pages and events has a stated range; what breaks it costs that entry, with a log line (item-rejected) and a counter. All subscribers get an event even if one fails, and a failed tick is logged.

--- a/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_chooser.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_chooser.py
@@ -10,6 +10,7 @@
     CallUnplaced,
     Extension,
     Node,
+    ResponseSize,
     RoutedCall,
     Upstream,
 )
@@ -51,7 +52,8 @@
 
         Only candidates with a fresh probe and capacity are considered, and
         upstreams in a cold start only where no warm one has a fresh probe. A
-        local upstream that is good enough is selected before a remote one. A
+        local upstream that is good enough is selected before a remote one; for
+        a large response, every one that meets the objective is good enough. A
         call that can still meet its objective waits for an upstream on which it
         does. A call that cannot is sent only where it slows down no other call,
         because late answers would otherwise displace those in time under high
@@ -85,7 +87,9 @@
         ]
         local = [candidate for candidate in warm if self._is_local(candidate)]
         best, cost = self._cheapest(local, now_ms)
-        if best and cost <= min(GOOD_ENOUGH_COST, margin):
+        is_large = routed.route.response_size is ResponseSize.LARGE
+        good_enough_cost = inf if is_large else GOOD_ENOUGH_COST
+        if best and cost <= min(good_enough_cost, margin):
             return best
         best, cost = self._cheapest(warm or fresh, now_ms)
         if self._prober.round_count(routed) == 1 and cost > GOOD_ENOUGH_COST:
--- a/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
@@ -8,6 +8,7 @@
 from figdoor_kernel import (
     CallClosed,
     DependencyChanged,
+    ItemRejected,
     MembersChanged,
     Node,
     NodeStateChanged,
@@ -42,6 +43,7 @@
         subscribe(CallClosed, self._on_closed)
         subscribe(TablesAccepted, self._on_accepted)
         subscribe(TablesRefused, self._on_refused)
+        subscribe(ItemRejected, self._on_rejected)
         subscribe(VmListChanged, self._on_vm_list)
         subscribe(MembersChanged, self._on_members)
         subscribe(NodeStateChanged, self._on_state)
@@ -89,6 +91,14 @@
             findings=list(map(str, event.findings)),
         )
 
+    def _on_rejected(self, event: ItemRejected) -> None:
+        self._write(
+            'item-rejected',
+            event.now_ms,
+            key=event.key,
+            reason=event.reason,
+        )
+
     def _on_vm_list(self, event: VmListChanged) -> None:
         for change in self._upstreams.collect():
             self._write('upstream', event.now_ms, **change)
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/_headers.py
@@ -1,5 +1,6 @@
 """Names and parsing of the headers used with callers and upstreams."""
 
+import re
 from collections.abc import Iterable
 from functools import lru_cache
 
@@ -39,6 +40,9 @@
     (b'content-length', b'host', b'idempotency-key'),
 )
 
+# A number with thousands of digits cannot be converted.
+_COUNT = re.compile('[0-9]{1,9}')
+
 HeaderList = list[tuple[bytes, bytes]]
 
 
@@ -93,7 +97,7 @@
         fields[name.strip()] = field_value.strip()
     running = fields.get('running', '')
     instance = fields.get('instance', '')
-    if not instance or not running.isdecimal():
+    if not instance or not _COUNT.fullmatch(running):
         return None
     return LoadReport(
         InstanceId(instance),
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -1,12 +1,13 @@
 """Start and graceful stop of a node."""
 
 from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 from twisted.internet.task import LoopingCall
 
 from figdoor_decisions.stopping import StopPhase, StopPlan
-from figdoor_gateway.loop import MS_PER_SECOND
+from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_gateway.protocols import FrontEnd
 from figdoor_kernel import Extension, Node, NodeState, Service, Tick
 
@@ -20,10 +21,16 @@
         """Create the ticker; ``run`` starts it."""
         self._node = node
         self._stop_plan: StopPlan = node.part(Extension.SERVICE, 'stop-plan')
-        self._ticker = LoopingCall(self._tick)
+        self._ticker = self.make_ticker(reactor)
         self._on_stopped: Callable[[], None] | None = None
         self._is_listener_closed = False
 
+    def make_ticker(self, clock: Any) -> LoopingCall:
+        """Return the loop that publishes ticks on this Twisted clock."""
+        ticker = LoopingCall(self._tick)
+        ticker.clock = clock
+        return ticker
+
     def run(self) -> None:
         """Start all parts, the front end last."""
         for part in self._ordered_parts():
@@ -48,7 +55,12 @@
 
     def _tick(self) -> None:
         now_ms = self._node.clock.now_ms()
-        self._node.events.publish(Tick(now_ms))
+        try:
+            self._node.events.publish(Tick(now_ms))
+        except Exception:
+            # An error ends a ``LoopingCall``. Without ticks, the node would
+            # neither follow the store nor stop.
+            logger.exception('a part failed on a tick; the node continues')
         if self._stop_plan.has_begun:
             self._continue_stop(now_ms)
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_metrics.py
@@ -14,6 +14,7 @@
     AttemptEnded,
     AttemptState,
     CallClosed,
+    ItemRejected,
     Node,
     ProbeRequested,
     Service,
@@ -65,6 +66,7 @@
         node.events.subscribe(CallClosed, self._on_closed)
         node.events.subscribe(AttemptEnded, self._on_attempt)
         node.events.subscribe(ProbeRequested, self._on_probe)
+        node.events.subscribe(ItemRejected, self._on_item_rejected)
         node.events.subscribe(Tick, self._on_tick)
         node.events.subscribe(TablesAccepted, self._on_tables)
         node.events.subscribe(VmListChanged, self._on_vm_list)
@@ -107,6 +109,11 @@
             'Times that the process was paused for over half a second',
             registry=self.collectors,
         )
+        self._rejected_items = Counter(
+            'figdoor_rejected_items',
+            'Published items that could not be decoded',
+            registry=self.collectors,
+        )
 
     def _on_closed(self, event: CallClosed) -> None:
         route = event.routed.route.name if event.routed else ''
@@ -148,6 +155,9 @@
         self._probed.add(event.upstream)
         self._probes.labels(event.upstream).inc()
 
+    def _on_item_rejected(self, event: ItemRejected) -> None:
+        self._rejected_items.inc()
+
     def _on_tables(self, event: TablesAccepted) -> None:
         """Remove the series of routes that are no longer in force."""
         routes = {'', *(route.name for route in event.tables.routes)}
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -28,6 +28,7 @@
     AttemptEnded,
     AttemptSent,
     AttemptStarted,
+    BackoffRequested,
     CallClosed,
     CallOpened,
     CallUnplaced,
@@ -36,6 +37,8 @@
     ConfigReadSucceeded,
     ConnectionsClosed,
     DependencyChanged,
+    ItemRejected,
+    LeavingSeen,
     NodeStateChanged,
     ProbeEnded,
     ProbeRequested,
@@ -147,6 +150,7 @@
     NodeState,
     Outcome,
     Refusal,
+    ResponseSize,
     UpstreamState,
     Verdict,
     VmState,
@@ -172,6 +176,9 @@
 )
 
 __all__ = (
+    'BackoffRequested',
+    'ItemRejected',
+    'LeavingSeen',
     'HedgeRule',
     'DependencyChanged',
     'AddressSendRequested',
@@ -256,6 +263,7 @@
     'ProbeEnded',
     'ProbeRequested',
     'Refusal',
+    'ResponseSize',
     'Registry',
     'ReportSeen',
     'RetryRule',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_event_bus.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_event_bus.py
@@ -31,8 +31,19 @@
         self._handlers.setdefault(event_type, []).append(handler)
 
     def publish(self, event: object) -> None:
-        """Call all observers and subscribers, then return."""
+        """Call all observers and subscribers, then return.
+
+        A subscriber that raises does not keep the event from the others. The
+        first error is raised once all of them were called, since publishers
+        treat it as a failure of the step that they announced.
+        """
         for observer in self._observers:
             observer(event)
+        first_error: Exception | None = None
         for handler in self._handlers.get(type(event), ()):
-            handler(event)
+            try:
+                handler(event)
+            except Exception as error:
+                first_error = first_error or error
+        if first_error is not None:
+            raise first_error
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -133,6 +133,35 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingSeen:
+    """A response of an upstream says that this instance is leaving."""
+
+    upstream: UpstreamId
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class BackoffRequested:
+    """An upstream shed a call and asks this node to send it nothing.
+
+    ``duration_ms`` is the time that it asks for.
+    """
+
+    upstream: UpstreamId
+    duration_ms: float
+    now_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ItemRejected:
+    """A published item cannot be decoded; what it names is not used."""
+
+    key: str
+    reason: str
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeEnded:
     """A probe ended; its load report, if any, came as ``ReportSeen``."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_states.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_states.py
@@ -1,4 +1,4 @@
-"""Enumerations of states, outcomes, refusals and verdicts."""
+"""Enumerations of states, outcomes, refusals, sizes and verdicts."""
 
 from enum import Enum, unique
 
@@ -82,6 +82,19 @@
     LEAVING = 'leaving'
 
 
+@unique
+class ResponseSize(Enum):
+    """How large the usual response of a route is.
+
+    A ``LARGE`` response takes a noticeable part of a node's link, and its
+    transfer between availability zones costs far more than that of a small
+    one.
+    """
+
+    SMALL = 'small'
+    LARGE = 'large'
+
+
 @unique
 class Verdict(Enum):
     """The decision of a candidate rule on one upstream for one call."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_tables.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_tables.py
@@ -11,6 +11,7 @@
     ServiceName,
     TenantName,
 )
+from figdoor_kernel._states import ResponseSize
 
 ANY = '*'
 
@@ -25,7 +26,8 @@
     contains ``ANY`` if every operation is idempotent. ``objective_ms`` is the
     latency objective, 0 if none is set. ``priority`` 0 is the most urgent.
     ``split`` lists the pools of a weighted split with their weights; it is
-    empty if ``pool`` gets all requests.
+    empty if ``pool`` gets all requests. ``response_size`` tells whether the
+    usual response is large.
     """
 
     name: RouteName
@@ -42,6 +44,7 @@
     priority: int = 0
     max_attempts: int = 4
     split: tuple[tuple[PoolName, float], ...] = ()
+    response_size: ResponseSize = ResponseSize.SMALL
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figdoor-tables/src/figdoor_tables/_columns.py
+++ b/packages/figdoor-tables/src/figdoor_tables/_columns.py
@@ -11,7 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
-from figdoor_kernel import ANY
+from figdoor_kernel import ANY, ResponseSize
 
 _NAME = re.compile(r'[a-z0-9][a-z0-9._-]{0,62}')
 _OPERATION = re.compile('[A-Z]{1,16}')
@@ -23,11 +23,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Column:
-    """The name of a column, the reader of its cells and its description."""
+    """The name of a column, the reader of its cells and its description.
+
+    A table may leave out a column that has a default; ``default`` is the text
+    that its cells then have.
+    """
 
     name: str
     read: Callable[[str], Cell]
     description: str
+    default: str | None = None
 
 
 def read_name(cell: str) -> Cell:
@@ -98,6 +103,14 @@
     return Success(frozenset(cell.split()))
 
 
+def read_response_size(cell: str) -> Cell:
+    """Read ``small`` or ``large``; an empty cell means ``small``."""
+    try:
+        return Success(ResponseSize(cell or ResponseSize.SMALL.value))
+    except ValueError:
+        return Failure(f'{cell!r} is neither small nor large')
+
+
 @dataclass(frozen=True, slots=True)
 class CountReader:
     """Reads whole numbers between two limits, both inclusive."""
@@ -179,6 +192,14 @@
         'retries in percent of first attempts, with a burst of 10 on '
         'each node; 0 for none',
     ),
+    Column(
+        'response_size',
+        read_response_size,
+        'size of the usual response; a large one (64 KB or more) comes from '
+        'another availability zone only if no local upstream meets the '
+        'objective',
+        default=ResponseSize.SMALL.value,
+    ),
 )
 
 POOL_COLUMNS = (
--- a/packages/figdoor-tables/src/figdoor_tables/_reading.py
+++ b/packages/figdoor-tables/src/figdoor_tables/_reading.py
@@ -201,4 +201,5 @@
         attribute,
         cells['deadline_ms'],
         cells['retry_percent'],
+        response_size=cells['response_size'],
     )
--- a/packages/figdoor-tables/src/figdoor_tables/_rows.py
+++ b/packages/figdoor-tables/src/figdoor_tables/_rows.py
@@ -134,7 +134,11 @@
             )
         if names.count(name) > 1:
             parsed.add_finding(line, name, 'column named twice')
-    missing = [name for name in expected if name not in names]
+    missing = [
+        column.name
+        for column in columns
+        if column.name not in names and column.default is None
+    ]
     for name in missing:
         parsed.add_finding(line, name, 'column missing')
     return not missing
@@ -153,7 +157,7 @@
     cells: dict[str, Any] = {}
     errors = []
     for column in columns:
-        text = by_name[column.name]
+        text = by_name.get(column.name, column.default or '')
         if _is_omitted(by_name, column.name, text):
             continue
         match column.read(text):
--- a/tests/platform_adapter/test_entries.py
+++ b/tests/platform_adapter/test_entries.py
@@ -66,12 +66,32 @@
             {'born': 1.5},
             {'Sequence': None},
             {'Zone': ['delta']},
+            {'Address': '10.0.0.9:' + '9' * 5000},
+            {'Address': '10.0.0.9:٨٠'},
+            {'Address': '0.0.0.0:80'},
+            {'Address': '10.0.0.9:0'},
+            {'Capacity': 10**400},
+            {'WarmupLeft': '1e300s'},
+            {'WarmupLeft': '9999999s'},
+            {'WarmupLeft': '1_0s'},
+            {'born': 10**4200},
+            {'born': -1},
+            {'Service': '\ud800'},
+            {'Service': 'a\r\nb: c'},
+            {'Zone': ''},
         ],
     )
     def test_missing_or_malformed_field_raises(self, changes):
         with pytest.raises(DecodingError):
             read(**changes)
 
+    @pytest.mark.parametrize(
+        'key', ['servers/', 'servers/\u20ac', 'servers/a b']
+    )
+    def test_id_that_cannot_be_sent_in_a_header_raises(self, key):
+        with pytest.raises(DecodingError):
+            read_entry(key, json.dumps(ENTRY).encode(), 0)
+
     @pytest.mark.parametrize('content', [b'', b'\xff', b'[]', b'{', b'7'])
     def test_content_that_is_not_a_json_object_raises(self, content):
         with pytest.raises(DecodingError):
