Honour leaving workers and Retry-After, and bound framing without end

Cause: a worker that leaves says so in all its answers and one that turns requests away may ask for a pause; both were ignored. A chunk extension or a trailer without end was buffered by the parser without a bound, and the load probe read a body without a bound. Change: LeavingRule denies an instance that has said that it leaves, listed or not, until it is a new instance, and tells the other nodes. Bytes that carry no part of a body are bounded by max_header_bytes. Scheduled sends to cold upstreams outlive their entries.

--- a/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/cold_rate/_rule.py
@@ -20,6 +20,9 @@
 )
 
 MS_PER_SECOND = 1000
+# Beyond this, the times of unlisted upstreams are dropped. It is well above the
+# number of upstreams of the largest deployment.
+MAX_SCHEDULED = 10_000
 
 
 def send_interval_ms(cold_per_s: float, nodes: int) -> float:
@@ -47,7 +50,9 @@
 
     The first send is scheduled at a random time within the interval, so that
     the nodes do not all send at once. Unused intervals do not add up: a node
-    that has not sent for a while may still send only one request.
+    that has not sent for a while may still send only one request. The time is
+    kept while the upstream is not listed: drawn anew with each listing, the
+    times of all nodes would cluster for an upstream that comes and goes.
     """
 
     def __init__(self, node: Node) -> None:
@@ -88,4 +93,5 @@
             scheduled.at_ms = event.now_ms + interval_ms
 
     def _on_vm_list(self, event: VmListChanged) -> None:
-        self._node.fleet.drop_unlisted(self._scheduled)
+        if len(self._scheduled) > MAX_SCHEDULED:
+            self._node.fleet.drop_unlisted(self._scheduled)
--- a/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
@@ -7,6 +7,7 @@
     BroadcastRequested,
     CandidateRule,
     InstanceId,
+    LeavingSeen,
     Node,
     ReportSeen,
     RoutedCall,
@@ -21,6 +22,8 @@
 # A constant, since looking up an enum member is slow (see
 # ``figdoor_kernel.ALLOW``).
 _LIVE = VmState.LIVE
+# Upstreams that have left stay in memory until as many others have followed.
+MAX_LEAVING = 4096
 
 
 class AvailabilityZoneRule(CandidateRule):
@@ -54,16 +57,21 @@
 
 
 class LeavingRule(CandidateRule):
-    """Denies upstreams that leave, by the VM list or by their own report.
+    """Denies upstreams that leave, by the VM list or by their own word.
 
-    The draining state is kept per instance and broadcast to all nodes.
+    What upstreams say is kept per instance and broadcast to all nodes. It is
+    kept while the upstream is not listed, too: an entry can lapse and return
+    while the instance that it names is leaving.
     """
 
     def __init__(self, node: Node) -> None:
-        """Subscribe to load reports and updates."""
+        """Subscribe to load reports, responses and updates."""
         self._node = node
         self._draining: dict[UpstreamId, InstanceId] = {}
+        # Instances as the VM list names them.
+        self._leaving: dict[UpstreamId, InstanceId] = {}
         node.events.subscribe(ReportSeen, self._on_report)
+        node.events.subscribe(LeavingSeen, self._on_leaving)
         node.events.subscribe(UpdateReceived, self._on_update)
 
     def evaluate(
@@ -76,7 +84,10 @@
         listed = self._node.fleet.find(upstream.upstream_id)
         if listed is not upstream or upstream.vm_state is not _LIVE:
             return DENY
-        if upstream.upstream_id in self._draining:
+        upstream_id = upstream.upstream_id
+        if upstream_id in self._draining:
+            return DENY
+        if self._leaving.get(upstream_id) == upstream.instance:
             return DENY
         return ALLOW
 
@@ -93,6 +104,31 @@
         elif draining_instance is not None and draining_instance != instance:
             self._draining.pop(event.upstream)
 
+    def _on_leaving(self, event: LeavingSeen) -> None:
+        upstream = self._node.fleet.find(event.upstream)
+        if upstream is None:
+            return
+        if self._leaving.get(event.upstream) != upstream.instance:
+            self._keep_leaving(event.upstream, upstream.instance)
+            update = UpstreamDraining(event.upstream, upstream.instance)
+            self._node.events.publish(BroadcastRequested(update, event.now_ms))
+
     def _on_update(self, event: UpdateReceived) -> None:
-        if isinstance(event.update, UpstreamDraining):
-            self._draining[event.update.upstream] = event.update.instance
+        update = event.update
+        if not isinstance(update, UpstreamDraining):
+            return
+        upstream = self._node.fleet.find(update.upstream)
+        # The instance is either the one that the VM list names, or that of a
+        # load report of an upstream whose instance the list does not name.
+        if upstream is None or upstream.instance:
+            self._keep_leaving(update.upstream, update.instance)
+        else:
+            self._draining[update.upstream] = update.instance
+
+    def _keep_leaving(
+        self, upstream_id: UpstreamId, instance: InstanceId
+    ) -> None:
+        self._leaving.pop(upstream_id, None)
+        self._leaving[upstream_id] = instance
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving.pop(next(iter(self._leaving)))
--- a/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_prober.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_prober.py
@@ -5,6 +5,7 @@
 
 from figdoor_decisions.load_probing._budget import ProbeBudget
 from figdoor_decisions.load_probing._loads import FreshLoads
+from figdoor_decisions.outliers import RequestedBackoff
 from figdoor_kernel import (
     CallClosed,
     Extension,
@@ -67,6 +68,10 @@
         self._node = node
         self._loads: FreshLoads = node.part(Extension.SERVICE, 'fresh-loads')
         self._budget = ProbeBudget(node)
+        self._backoff: RequestedBackoff = node.part(
+            Extension.CANDIDATE_RULE,
+            'requested-backoff',
+        )
         self._rounds: list[_Round] = []
         self._calls: dict[int, _CallRounds] = {}
         self._pending_ms: dict[UpstreamId, float] = {}
@@ -106,6 +111,9 @@
     def resume_ms(self, routed: RoutedCall, now_ms: float) -> float | None:
         """Return when the next round begins, ``None`` after the last.
 
+        If all upstreams have asked for a pause, no round begins before the
+        first of these pauses ends.
+
         The second round follows the first at once, but only once per call. A
         call that has tried all upstreams begins no further round, so its round
         count stays at 1, and it would otherwise be resumed in a busy loop.
@@ -114,17 +122,15 @@
         if call and call.round_count == 1 and not call.was_resumed:
             call.was_resumed = True
             return now_ms
-        return (
-            None
-            if self.is_last_round(routed, now_ms)
-            else now_ms + ROUND_INTERVAL_MS
+        resumes_ms = self._backoff.service_resumes_ms(
+            routed.pool.service, now_ms
         )
+        next_round_ms = max(resumes_ms, now_ms + ROUND_INTERVAL_MS)
+        return None if _exceeds_wait(routed, next_round_ms) else next_round_ms
 
     def is_last_round(self, routed: RoutedCall, now_ms: float) -> bool:
         """Return whether the call must not wait for another round."""
-        objective_ms = routed.route.objective_ms or DEFAULT_OBJECTIVE_MS
-        next_round_ms = now_ms + ROUND_INTERVAL_MS
-        return next_round_ms - routed.opened_ms > MAX_WAIT_SHARE * objective_ms
+        return _exceeds_wait(routed, now_ms + ROUND_INTERVAL_MS)
 
     def _sample_candidates(
         self,
@@ -180,3 +186,9 @@
     def _on_call_closed(self, event: CallClosed) -> None:
         if event.routed is not None:
             self._calls.pop(id(event.routed), None)
+
+
+def _exceeds_wait(routed: RoutedCall, at_ms: float) -> bool:
+    """Return whether a call must not wait until this time."""
+    objective_ms = routed.route.objective_ms or DEFAULT_OBJECTIVE_MS
+    return at_ms - routed.opened_ms > MAX_WAIT_SHARE * objective_ms
--- a/packages/figdoor-decisions/src/figdoor_decisions/outliers/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/outliers/__init__.py
@@ -1,17 +1,24 @@
-"""Rules against upstreams that fail fast or refuse connections."""
+"""Rules against upstreams that fail fast, refuse connections or want a pause."""
 
 from figdoor_decisions.outliers._ejection import (
     OutlierEjection,
     max_ejected,
 )
 from figdoor_decisions.outliers._refused import RefusedConnections
+from figdoor_decisions.outliers._requested import RequestedBackoff
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('OutlierEjection', 'RefusedConnections', 'max_ejected', 'register')
+__all__ = (
+    'OutlierEjection',
+    'RefusedConnections',
+    'RequestedBackoff',
+    'max_ejected',
+    'register',
+)
 
 
 def register(registry: Registry) -> None:
-    """Provide the ejection and the connection back-off."""
+    """Provide the ejection and both back-offs."""
     registry.provide(
         Extension.CANDIDATE_RULE,
         'outlier-ejection',
@@ -22,3 +29,8 @@
         'refused-connections',
         RefusedConnections,
     )
+    registry.provide(
+        Extension.CANDIDATE_RULE,
+        'requested-backoff',
+        RequestedBackoff,
+    )
--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/_advice.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_advice.py
@@ -1,6 +1,7 @@
 """Advice on when a refused caller should retry."""
 
 from figdoor_decisions.load_probing import ObjectiveTimes
+from figdoor_decisions.outliers import RequestedBackoff
 from figdoor_kernel import Extension, Node, Refusal, RoutedCall
 
 DEFAULT_OBJECTIVE_MS = 1000.0
@@ -25,6 +26,10 @@
     def __init__(self, node: Node) -> None:
         """Use the node's random generator and the objective times."""
         self._random = node.random
+        self._backoff: RequestedBackoff = node.part(
+            Extension.CANDIDATE_RULE,
+            'requested-backoff',
+        )
         self._times: ObjectiveTimes = node.part(
             Extension.SERVICE,
             'objective-times',
@@ -39,8 +44,24 @@
         """Return a random delay.
 
         It is short if the call was shed, and long if the caller would miss its
-        objective.
+        objective. If all upstreams have asked for a pause, it counts from the
+        end of the first of these pauses.
         """
+        resumes_ms = now_ms
+        if routed is not None:
+            resumes_ms = self._backoff.service_resumes_ms(
+                routed.pool.service, now_ms
+            )
+        delay_ms = self._delay_ms(refusal, routed, resumes_ms)
+        return resumes_ms - now_ms + delay_ms
+
+    def _delay_ms(
+        self,
+        refusal: Refusal | None,
+        routed: RoutedCall | None,
+        now_ms: float,
+    ) -> float:
+        """Return the delay from the time at which upstreams can be used."""
         objective_ms = routed.route.objective_ms if routed else 0
         objective_ms = objective_ms or DEFAULT_OBJECTIVE_MS
         if refusal is None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -133,6 +133,10 @@
         number = attempt.number
         if head.report is not None:
             self._exchange.report(head.report, now_ms, number)
+        if head.leaving:
+            self._exchange.report_leaving(now_ms, number)
+        if head.backoff_ms:
+            self._exchange.request_backoff(head.backoff_ms, now_ms, number)
         if attempt.has_failed and not head.shed and not head.inner_outcome:
             attempt.is_discarded = self._exchange.may_discard_response(
                 now_ms, number
--- a/packages/figdoor-gateway/src/figdoor_gateway/headers/_dialect.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/headers/_dialect.py
@@ -149,3 +149,7 @@
         if status != _OK or value is None:
             return None
         return read_load_report(value)
+
+    def is_from(self, upstream: Upstream, headers: Headers) -> bool:
+        """Return ``True``: an address belongs to one upstream here."""
+        return True
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -4,11 +4,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
-from twisted.web.client import ResponseDone
 
 from figdoor_gateway.agents import make_client
+from figdoor_gateway.bodies import BodyTooLongError, read_body
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_kernel import FigdoorError
 
@@ -103,9 +101,10 @@
             headers=self._request_headers(path),
             unbuffered=True,
         )
-        body = _Body()
-        response.deliverBody(body)
-        text = await body.finished
+        try:
+            text = await read_body(response, MAX_RESPONSE_BYTES)
+        except BodyTooLongError as error:
+            raise PlatformError(f'GET {path}: {error}') from error
         if response.code in _NOT_CHANGED:
             return None
         if response.code != _OK:
@@ -120,35 +119,3 @@
         self.etags.pop(path, None)
         if etags:
             self.etags[path] = etags[0]
-
-
-class _Body(Protocol):
-    """Collects the body of a response up to ``MAX_RESPONSE_BYTES``."""
-
-    def __init__(self) -> None:
-        self.finished: Deferred[bytes] = Deferred(self._disconnect)
-        self._parts = bytearray()
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Append a part of the body."""
-        self._parts += data
-        if len(self._parts) > MAX_RESPONSE_BYTES and not self.finished.called:
-            self.finished.errback(PlatformError('response body is too long'))
-            self._disconnect(self.finished)
-
-    def connectionLost(  # noqa: N802
-        self,
-        reason: Failure = connectionDone,
-    ) -> None:
-        """Complete the body, or fail if the connection was lost before."""
-        if self.finished.called:
-            return
-        if reason.check(ResponseDone):
-            self.finished.callback(bytes(self._parts))
-        else:
-            self.finished.errback(reason)
-
-    def _disconnect(self, _: object) -> None:
-        transport: Any = self.transport
-        if transport is not None:
-            transport.loseConnection()
--- a/packages/figdoor-gateway/src/figdoor_gateway/probing/_health_probes.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/probing/_health_probes.py
@@ -15,7 +15,9 @@
     UpstreamTransport,
 )
 from figdoor_kernel import (
+    BackoffRequested,
     Extension,
+    LeavingSeen,
     LoadReport,
     Node,
     ProbeEnded,
@@ -87,6 +89,13 @@
         events = self._node.events
         now_ms = self._node.clock.now_ms()
         upstream_id = upstream.upstream_id
+        head = probe.head
+        if head is not None and head.leaving:
+            events.publish(LeavingSeen(upstream_id, now_ms))
+        if head is not None and head.backoff_ms:
+            events.publish(
+                BackoffRequested(upstream_id, head.backoff_ms, now_ms)
+            )
         if report is not None:
             events.publish(ReportSeen(upstream_id, report, now_ms))
         latency_ms = now_ms - started_ms
@@ -107,6 +116,7 @@
         self._dialect = dialect
         self._on_end = on_end
         self._report: LoadReport | None = None
+        self.head: ResponseHead | None = None
         self._request_handle: RequestHandle | None = None
         self._timer: Timer | None = None
         self._attempt_count = 0
@@ -135,7 +145,9 @@
         self._finish(None)
 
     def on_head(self, head: ResponseHead) -> None:
-        """Read the load report."""
+        """Read the load report; keep a head that is from the upstream."""
+        if self._dialect.is_from(self._upstream, head.headers):
+            self.head = head
         self._report = self._dialect.probe_report(
             self._upstream,
             head.status,
--- a/packages/figdoor-gateway/src/figdoor_gateway/probing/_load_probes.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/probing/_load_probes.py
@@ -4,9 +4,9 @@
 
 from loguru import logger
 from twisted.internet.defer import Deferred
-from twisted.web.client import readBody
 
 from figdoor_gateway.agents import make_client
+from figdoor_gateway.bodies import read_body
 from figdoor_gateway.headers import LOAD, read_load_report
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_kernel import (
@@ -19,6 +19,8 @@
 
 PROBE_PATH = '/load'
 PROBE_TIMEOUT_MS = 500
+# The load report is in a header; upstreams have nothing to say in the body.
+MAX_BODY_BYTES = 65_536
 _OK = 200
 
 
@@ -76,7 +78,7 @@
             unbuffered=True,
             allow_redirects=False,
         )
-        await readBody(response)
+        await read_body(response, MAX_BODY_BYTES)
         report_headers = response.headers.getRawHeaders(LOAD, ())
         report = read_load_report(report_headers[0]) if report_headers else None
         if response.code != _OK or report is None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/protocols.py
@@ -54,7 +54,8 @@
     ``body_length`` is ``None`` if the length is not known in advance. ``shed``
     says that the upstream refused the request without running it.
     ``inner_outcome`` says that the response carries the outcome of another
-    gateway behind the upstream.
+    gateway behind the upstream. ``leaving`` and ``backoff_ms`` are those of
+    ``ResponseInfo``.
     """
 
     status: int
@@ -64,6 +65,8 @@
     shed: bool
     inner_outcome: bool
     report: LoadReport | None
+    leaving: bool = False
+    backoff_ms: float = 0
 
 
 @unique
@@ -80,11 +83,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseInfo:
-    """What a dialect reads from the head of a response."""
+    """What a dialect reads from the head of a response.
+
+    ``leaving`` says that the upstream is about to stop. ``backoff_ms`` is the
+    time for which an upstream that shed the request wants no other one.
+    """
 
     kind: ResponseKind
     report: LoadReport | None = None
     inner_outcome: bool = False
+    leaving: bool = False
+    backoff_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +167,12 @@
     ) -> LoadReport | None:
         """Return the load report of a probe, ``None`` if the probe failed."""
 
+    def is_from(self, upstream: Upstream, headers: Headers) -> bool:
+        """Return whether the response to a probe is from this upstream.
+
+        Another upstream may have taken over its address.
+        """
+
 
 class ResponseReceiver(Protocol):
     """Callbacks for the progress of one attempt.
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -63,7 +63,8 @@
         self._is_sending_body = False
         self._is_chunked = False
         self._is_paused = False
-        self._pending_head_bytes = 0
+        self._framing_bytes = 0
+        self._has_body_data = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm and enlarge the read buffer."""
@@ -87,7 +88,8 @@
         )
         self._is_chunked = request.body_length is None
         self._is_sending_body = not request.body_complete
-        self._pending_head_bytes = 0
+        self._framing_bytes = 0
+        self._has_body_data = False
         producer = None
         if self._is_sending_body and request.body_source is not None:
             producer = BodyProducer(request.body_source)
@@ -151,7 +153,7 @@
             return
         if self._response.is_complete:
             self._complete(is_valid)
-        elif is_valid and self._head_fits(len(data)):
+        elif is_valid and self._framing_fits(len(data)):
             self._receiver.flush()
         else:
             self._fail()
@@ -209,6 +211,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body."""
+        self._has_body_data = True
         if self._response.is_stray:
             return
         if self._response.is_complete or not self._response.has_head:
@@ -223,16 +226,19 @@
         else:
             self._response = self._response.next_response()
 
-    def _head_fits(self, received_bytes: int) -> bool:
-        """Return whether the head can still be within ``max_header_bytes``.
+    def _framing_fits(self, received_bytes: int) -> bool:
+        """Return whether head, trailer and chunk sizes have allowed lengths.
 
-        Counts all bytes before the end of the head, since the parser buffers
-        a header until it is complete.
+        Counts the bytes received since the last part of the body, since the
+        parser buffers a header, a trailer or a chunk extension until it is
+        complete. Interim responses count as a part of the head.
         """
-        if self._response.has_head:
+        if self._has_body_data:
+            self._has_body_data = False
+            self._framing_bytes = 0
             return True
-        self._pending_head_bytes += received_bytes
-        return self._pending_head_bytes <= self._max_header_bytes
+        self._framing_bytes += received_bytes
+        return self._framing_bytes <= self._max_header_bytes
 
     def _write_body(self, data: bytes) -> None:
         write_now(
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_response.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_response.py
@@ -85,6 +85,8 @@
             info.kind is ResponseKind.SHED,
             info.inner_outcome,
             info.report,
+            info.leaving,
+            info.backoff_ms,
         )
 
     def next_response(self) -> 'ParsedResponse':
--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -19,7 +19,9 @@
     AttemptEnded,
     AttemptSent,
     AttemptStarted,
+    BackoffRequested,
     CallClosed,
+    LeavingSeen,
     ReportSeen,
 )
 from figdoor_kernel._fleet import Upstream
@@ -137,6 +139,26 @@
             upstream_id = attempt.upstream.upstream_id
             self._events.publish(ReportSeen(upstream_id, report, now_ms))
 
+    def report_leaving(self, now_ms: float, number: int | None = None) -> None:
+        """Publish that the upstream of an attempt says that it is leaving."""
+        attempt = self._find_attempt(number)
+        if attempt is not None:
+            upstream_id = attempt.upstream.upstream_id
+            self._events.publish(LeavingSeen(upstream_id, now_ms))
+
+    def request_backoff(
+        self,
+        duration_ms: float,
+        now_ms: float,
+        number: int | None = None,
+    ) -> None:
+        """Publish that the upstream of an attempt asks for a pause."""
+        attempt = self._find_attempt(number)
+        if attempt is not None:
+            upstream_id = attempt.upstream.upstream_id
+            event = BackoffRequested(upstream_id, duration_ms, now_ms)
+            self._events.publish(event)
+
     def may_discard_response(
         self, now_ms: float, number: int | None = None
     ) -> bool:
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -70,6 +70,49 @@
         return bool(self.released) and self.connection.is_usable
 
 
+class TestEndlessBytes:
+    """Bytes that are no answer may come until this side closes."""
+
+    CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+    PART = b'a' * 100
+
+    @pytest.mark.parametrize(
+        'begin',
+        [
+            b'HTTP/1.1 200 ',
+            OK + b'X-A: ',
+            CHUNKED + b'2;ext=',
+            CHUNKED + b'2\r\nab\r\n1;ext=',
+            CHUNKED + b'0\r\nX-Trailer: ',
+        ],
+    )
+    def test_framing_without_end_closes_the_connection(self, begin):
+        """Guards against a parser that buffers until memory runs out."""
+        rig = Rig()
+        received = 0
+        rig.receive(begin)
+        while rig.connection.is_usable:
+            rig.receive(self.PART)
+            received += len(self.PART)
+            assert received <= 2000
+        assert rig.receiver.ends == ['lost']
+        assert rig.wire.aborted
+
+    def test_interim_responses_without_end_close_the_connection(self):
+        rig = Rig()
+        for _ in range(100):
+            if rig.connection.is_usable:
+                rig.receive(b'HTTP/1.1 103 Early Hints\r\n\r\n')
+        assert rig.receiver.ends == ['lost']
+
+    def test_long_body_is_no_framing(self):
+        rig = Rig()
+        rig.receive(OK + b'Content-Length: 20000\r\n\r\n')
+        for _ in range(200):
+            rig.receive(self.PART)
+        assert rig.receiver.ends == ['complete']
+
+
 MALFORMED = {
     'garbage': b'\x00garbage\r\n\r\n',
     'neither length nor chunks': OK + b'\r\nab',
