Read the store from one seed, and start from stale pages

Each node read all pages at full price and watched the store until it knew other members, and two readers watched with 600 ms each. Change: members are ranked, seeds first, so that nodes agree on the reader from their start. One reader watches for 800 ms and confirms after each read; three standbys and then the others take over, one after the other, between 1.05 and 1.45 s after the last confirmation, with a watch that does not wait. Reads of all pages may be stale (a tenth of the price); their result includes a watch from the oldest page, so that nothing withdrawn comes into use, and a history lost meanwhile leads to an exact read.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/__init__.py
@@ -1,8 +1,8 @@
 """Membership by gossip, and the distribution of items from the store.
 
-Nodes find each other by a few seed addresses. Two of them read the store and
-push changes to the others. A node whose items nobody confirms any more reads
-the store itself.
+Nodes find each other by a few seed addresses. One of them reads the store and
+pushes changes to the others. A node whose items nobody confirms any more reads
+the store itself, the standbys of the reader before the others.
 """
 
 from figdoor_decisions.gossip._members import Members, fleet_size
--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -27,8 +27,9 @@
 # Interval at which other nodes contact the seeds that are not their members.
 # After a split, parts that no longer list each other find each other this way.
 SEED_INTERVAL_MS = 5000.0
-# Interval at which readers confirm the items of the others. Two confirmations
-# may be lost before a node reads the store itself.
+# Interval at which the items of the others are confirmed, in addition to a
+# confirmation after each read. One confirmation may be lost before a standby of
+# the reader reads the store itself, and two before the other nodes do.
 CONFIRM_INTERVAL_MS = 400.0
 # Bytes of items that fit into one datagram with the rest of a push.
 MAX_PUSH_BYTES = 900
@@ -70,7 +71,7 @@
             self._exchange(now_ms)
         if now_ms >= self._next_seed_ms:
             self._contact_seeds(now_ms)
-        if self._readers.is_reader and now_ms >= self._next_confirm_ms:
+        if self._readers.is_standby and now_ms >= self._next_confirm_ms:
             self._send_confirmations(now_ms)
 
     def _exchange(self, now_ms: float) -> None:
@@ -122,17 +123,17 @@
     def _on_items_read(self, event: ItemsRead) -> None:
         """Push changes from the store to all others.
 
-        If they do not fit into a datagram, a confirmation is sent instead, and
-        the others fetch the changes.
+        If there are none, or if they do not fit into a datagram, a confirmation
+        is sent instead, and the others fetch what they lack.
         """
         base = self._pushed_as_of
         self._pushed_as_of = self._items.as_of
-        if not event.from_store or event.is_whole or not event.items:
+        if not event.from_store or not self._readers.is_standby:
             return
         size = sum(
             len(item.key) + len(item.content or b'') for item in event.items
         )
-        if size > MAX_PUSH_BYTES:
+        if event.is_whole or not 0 < size <= MAX_PUSH_BYTES:
             self._send_confirmations(event.now_ms)
             return
         push = ItemsPush(base, self._items.as_of, 0, event.items)
--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_roles.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_roles.py
@@ -1,4 +1,4 @@
-"""Selects the nodes that read the store for the others."""
+"""Selects the node that reads the store for the others, and its standbys."""
 
 import xxhash
 
@@ -7,40 +7,69 @@
     Extension,
     MembersChanged,
     Node,
-    NodeId,
     Service,
+    Vm,
 )
 
-# A single reader that fails or loses the store would be noticed only by a
-# time-out of the others, so there are two.
-READER_COUNT = 2
+# How long the items of a node may be unconfirmed before it reads the store
+# itself, by its rank. The reader confirms them at least every 800 ms; a change
+# must be in force within two seconds. The first standby reacts to one lost
+# confirmation, the other nodes only once the standbys have failed as well.
+_TAKEOVER_MS = (0.0, 1050.0, 1250.0, 1250.0)
+LAST_TAKEOVER_MS = 1450.0
 
 
 class StoreReaders(Service):
-    """Selects the first members in the order of their hashes as readers.
+    """Ranks the members; the first one reads the store for the others.
 
-    Nodes with different members may select different readers. Too many readers
-    only cost calls; with too few, the other nodes notice that nobody confirms
-    their items and read the store themselves.
+    Seeds come first, since every node knows them from its start, then the
+    members in the order of their hashes. Nodes with different members may rank
+    them differently. Too many readers only cost calls; with too few, the
+    other nodes notice that nobody confirms their items, and read themselves.
     """
 
     def __init__(self, node: Node) -> None:
-        """Subscribe to members; until they are published, this node reads."""
+        """Subscribe to members."""
         self._node = node
         self._members: Members = node.part(Extension.SERVICE, 'members')
-        self._readers: frozenset[NodeId] = frozenset((node.node_id,))
+        self._seeds = frozenset(node.options.seeds)
+        self._rank = self._rank_among(())
         node.events.subscribe(MembersChanged, self._on_members)
 
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store for the others."""
-        return self._node.node_id in self._readers
+        return self._rank == 0
+
+    @property
+    def is_standby(self) -> bool:
+        """Whether this node confirms items to the others if it has read."""
+        return self._rank < len(_TAKEOVER_MS)
+
+    @property
+    def takeover_ms(self) -> float:
+        """How old confirmed items may be before this node reads the store."""
+        if self.is_standby:
+            return _TAKEOVER_MS[self._rank]
+        return LAST_TAKEOVER_MS
 
     def _on_members(self, event: MembersChanged) -> None:
-        node_ids = [NodeId(vm.vm_id) for vm in event.members]
-        ranked = sorted(node_ids, key=_rank)
-        self._readers = frozenset(ranked[:READER_COUNT])
+        self._rank = self._rank_among(event.members)
+
+    def _rank_among(self, members: tuple[Vm, ...]) -> int:
+        own_address = self._node.options.peer_address
+        is_seed = own_address in self._seeds
+        if len(members) < 2 and self._seeds and not is_seed:
+            # A node that has just started does not know the reader yet.
+            return len(_TAKEOVER_MS)
+        own_key = (not is_seed, *_hash(self._node.node_id))
+        return sum(
+            (f'{vm.host}:{vm.port}' not in self._seeds, *_hash(vm.vm_id))
+            < own_key
+            for vm in members
+            if vm.vm_id != self._node.node_id
+        )
 
 
-def _rank(node_id: NodeId) -> tuple[int, NodeId]:
+def _hash(node_id: str) -> tuple[int, str]:
     return xxhash.xxh64_intdigest(node_id.encode()), node_id
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/__init__.py
@@ -3,6 +3,7 @@
 from figdoor_decisions.published._acceptance import NewestAcceptance
 from figdoor_decisions.published._items import ItemChanges, PublishedItems
 from figdoor_decisions.published._reading import (
+    CHECK_WAIT_MS,
     ReadKind,
     StoreRead,
     StoreReadingPlan,
@@ -11,6 +12,7 @@
 from figdoor_kernel import Extension, Registry
 
 __all__ = (
+    'CHECK_WAIT_MS',
     'ItemChanges',
     'NewestAcceptance',
     'ListedVms',
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -15,21 +15,25 @@
 
 
 class ReaderRole(Protocol):
-    """Tells whether this node is one of those that read for the others."""
+    """Tells when this node reads the store, for itself or for the others."""
 
     @property
     def is_reader(self) -> bool:
         """Whether this node reads the store for others now."""
 
+    @property
+    def takeover_ms(self) -> float:
+        """How old confirmed items may be before this node reads the store."""
+
 
 # A reader confirms its items to the other nodes, so it must notice soon when
 # the connection to the store no longer responds.
-WATCH_WAIT_MS = 600
-# A change must be in force within two seconds. A node whose items nobody has
-# confirmed for this long reads the store itself.
-MAX_UNCONFIRMED_MS = 1000.0
+WATCH_WAIT_MS = 800
+# A node that reads only because nobody confirms its items must not wait for a
+# change: the others would read as well in the meantime.
+CHECK_WAIT_MS = 1
 # Changes often come in groups; the interval limits the calls to the store.
-MIN_INTERVAL_MS = 100.0
+MIN_INTERVAL_MS = 200.0
 FIRST_BACKOFF_MS = 100.0
 MAX_BACKOFF_MS = 800.0
 
@@ -47,12 +51,14 @@
     """One read to start now.
 
     A watch returns the changes after ``after``; the store waits for them at
-    most ``wait_ms``.
+    most ``wait_ms``. With ``may_be_stale``, a read of all items may return old
+    ones, if a watch from their revision follows.
     """
 
     kind: ReadKind
     after: Revision
     wait_ms: int
+    may_be_stale: bool = False
 
 
 class StoreReadingPlan(Service):
@@ -72,6 +78,8 @@
             'store-readers',
         )
         self._needs_whole = True
+        # Whether the store has lost the history after a stale read.
+        self._needs_exact = False
         self._backoff_ms: float = 0
         self._next_ms = float('-inf')
 
@@ -80,17 +88,20 @@
         if now_ms < self._next_ms:
             return None
         if self._needs_whole:
-            return StoreRead(ReadKind.WHOLE, Revision(0), 0)
-        if not self._readers.is_reader and (
-            self._items.age_ms(now_ms) <= MAX_UNCONFIRMED_MS
-        ):
-            return None
-        return StoreRead(ReadKind.WATCH, self._items.as_of, WATCH_WAIT_MS)
+            may_be_stale = not self._needs_exact
+            return StoreRead(ReadKind.WHOLE, Revision(0), 0, may_be_stale)
+        wait_ms = WATCH_WAIT_MS
+        if not self._readers.is_reader:
+            if self._items.age_ms(now_ms) <= self._readers.takeover_ms:
+                return None
+            wait_ms = CHECK_WAIT_MS
+        return StoreRead(ReadKind.WATCH, self._items.as_of, wait_ms)
 
     def record_success(self, now_ms: float) -> None:
         """Record a successful read and schedule the next one."""
         self._update_state(is_up=True, reason='answered', now_ms=now_ms)
         self._needs_whole = False
+        self._needs_exact = False
         self._backoff_ms = 0
         self._next_ms = now_ms + MIN_INTERVAL_MS
 
@@ -99,7 +110,11 @@
         self._needs_whole = False
 
     def record_lost_history(self, now_ms: float) -> None:
-        """Read all items at once: the store lacks the history for the watch."""
+        """Read all items at once: the store lacks the history for the watch.
+
+        If that was the watch after a stale read, the next read is exact.
+        """
+        self._needs_exact = self._needs_whole
         self._needs_whole = True
         self._next_ms = now_ms
 
