Pass news on by delegates of the zones, and share by the true fleet size

Cause: at 312 nodes a digest with 8 members every 3 s names each member to a given node every 70 s, while members expire after 20 s. So nodes dropped most members that lived, got no news from the reader, and divided the budgets of the fleet by too few nodes. Change: the first two members of each availability zone are its delegates. All nodes of the zone report to them, they send their zone's members to the other zones, and pass pushes and confirmations on. Replies name the delegates of the sender's zone first. A digest tells how many members its sender knows, and shares are divided by the largest number told in 30 s. A node takes items of peers at its start only once its first read has failed or takes over 0.3 s. Measurement: TestZones (48 nodes in 6 zones) fails without delegates: nodes lack changes, and fleet_size is too small.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/__init__.py
@@ -5,18 +5,27 @@
 the store itself, the standbys of the reader before the others.
 """
 
+from figdoor_decisions.gossip._delegates import ZoneDelegates
 from figdoor_decisions.gossip._members import Members, fleet_size
 from figdoor_decisions.gossip._relay import Relay
 from figdoor_decisions.gossip._roles import StoreReaders
 from figdoor_decisions.gossip._sharing import MemberSharing
 from figdoor_kernel import Extension, Registry
 
-__all__ = ('Members', 'Relay', 'StoreReaders', 'fleet_size', 'register')
+__all__ = (
+    'Members',
+    'Relay',
+    'StoreReaders',
+    'ZoneDelegates',
+    'fleet_size',
+    'register',
+)
 
 
 def register(registry: Registry) -> None:
-    """Provide the members, what they share, the reader role and the relay."""
+    """Provide the members, their roles, what they share, and the relay."""
     registry.provide(Extension.SERVICE, 'sharing', MemberSharing)
     registry.provide(Extension.SERVICE, 'members', Members)
     registry.provide(Extension.SERVICE, 'store-readers', StoreReaders)
+    registry.provide(Extension.SERVICE, 'zone-delegates', ZoneDelegates)
     registry.provide(Extension.SERVICE, 'relay', Relay)
--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -1,8 +1,9 @@
 """Exchange of digests between nodes, and pushes of changed items."""
 
+from figdoor_decisions.gossip._delegates import ZoneDelegates
 from figdoor_decisions.gossip._members import Members
 from figdoor_decisions.gossip._roles import StoreReaders
-from figdoor_decisions.published import PublishedItems
+from figdoor_decisions.published import PublishedItems, StoreReadingPlan
 from figdoor_kernel import (
     AddressSendRequested,
     Digest,
@@ -14,6 +15,7 @@
     NodeId,
     PeerMessageReceived,
     PeerSendRequested,
+    Revision,
     Service,
     StopNotice,
     Tick,
@@ -22,6 +24,11 @@
 # Interval of the random exchange of members; transfer between availability
 # zones is expensive.
 EXCHANGE_INTERVAL_MS = 3000.0
+# One in this many exchanges goes to any member, the others to a delegate.
+ANY_MEMBER_EVERY = 3
+# Delegates send the members of their zone to the other zones with one in this
+# many exchanges.
+OTHER_ZONES_EVERY = 2
 # Interval at which a node without other members contacts the seeds.
 DISCOVERY_INTERVAL_MS = 200.0
 # Interval at which other nodes contact the seeds that are not their members.
@@ -52,6 +59,15 @@
             Extension.SERVICE,
             'published-items',
         )
+        self._plan: StoreReadingPlan = node.part(
+            Extension.SERVICE,
+            'store-reading',
+        )
+        self._delegates: ZoneDelegates = node.part(
+            Extension.SERVICE,
+            'zone-delegates',
+        )
+        self._exchange_count = 0
         self._next_exchange_ms = float('-inf')
         self._next_seed_ms = float('-inf')
         self._next_confirm_ms = float('-inf')
@@ -75,11 +91,39 @@
             self._send_confirmations(now_ms)
 
     def _exchange(self, now_ms: float) -> None:
+        """Report to a delegate of the zone, at times to any member.
+
+        The latter joins parts of the fleet that know different delegates.
+        """
         self._next_exchange_ms = now_ms + EXCHANGE_INTERVAL_MS
-        others = self._members.others
-        if others:
-            peer = self._node.random.choice(others)
+        self._exchange_count += 1
+        own_id = self._node.node_id
+        delegates = self._delegates.of_zone(self._node.availability_zone)
+        peers = tuple(peer for peer in delegates if peer != own_id)
+        if not peers or self._exchange_count % ANY_MEMBER_EVERY == 0:
+            peers = self._members.others
+        if peers:
+            peer = self._node.random.choice(peers)
             self._send(peer, self._digest(now_ms, wants_reply=True))
+        if self._delegates.is_delegate and (
+            self._exchange_count % OTHER_ZONES_EVERY == 0
+        ):
+            self._send_zone(now_ms)
+
+    def _send_zone(self, now_ms: float) -> None:
+        """Send the members of the own zone to a delegate of each other one."""
+        for rows, ages_ms in self._members.zone_chunks(now_ms):
+            digest = Digest(
+                self._items.as_of,
+                self._items.newest_revision,
+                min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
+                False,
+                rows,
+                ages_ms,
+                self._members.own_count,
+            )
+            for delegates in self._delegates.remote:
+                self._send(self._node.random.choice(delegates), digest)
 
     def _contact_seeds(self, now_ms: float) -> None:
         has_others = bool(self._members.others)
@@ -96,21 +140,30 @@
     def _send_confirmations(self, now_ms: float) -> None:
         """Send the age of the last read of the store to all others."""
         self._next_confirm_ms = now_ms + CONFIRM_INTERVAL_MS
-        if not self._items.has_read_store_recently(now_ms):
-            return
+        if self._items.has_read_store_recently(now_ms):
+            self._confirm_to(self._delegates.recipients, now_ms)
+
+    def _confirm_to(self, peers: tuple[NodeId, ...], now_ms: float) -> None:
         digest = Digest(
             self._items.as_of,
             self._items.newest_revision,
-            self._items.store_age_ms(now_ms),
+            min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
             False,
             self._members.own_row(),
             (0,),
+            self._members.own_count,
         )
-        for peer in self._members.others:
+        for peer in peers:
             self._send(peer, digest)
 
-    def _digest(self, now_ms: float, *, wants_reply: bool) -> Digest:
-        rows, ages_ms = self._members.sample(now_ms)
+    def _digest(
+        self,
+        now_ms: float,
+        *,
+        wants_reply: bool,
+        first: tuple[NodeId, ...] = (),
+    ) -> Digest:
+        rows, ages_ms = self._members.sample(now_ms, first)
         return Digest(
             self._items.as_of,
             self._items.newest_revision,
@@ -118,26 +171,38 @@
             wants_reply,
             rows,
             ages_ms,
+            self._members.own_count,
         )
 
     def _on_items_read(self, event: ItemsRead) -> None:
-        """Push changes from the store to all others.
+        """Push changes from the store to all, those from peers to the zone.
 
         If there are none, or if they do not fit into a datagram, a confirmation
         is sent instead, and the others fetch what they lack.
         """
         base = self._pushed_as_of
         self._pushed_as_of = self._items.as_of
-        if not event.from_store or not self._readers.is_standby:
-            return
+        if event.from_store and self._readers.is_standby:
+            self._pass_on(event, base, self._delegates.recipients)
+        elif not event.from_store and self._delegates.is_delegate:
+            self._pass_on(event, base, self._delegates.zone_members)
+
+    def _pass_on(
+        self,
+        event: ItemsRead,
+        base: Revision,
+        peers: tuple[NodeId, ...],
+    ) -> None:
         size = sum(
             len(item.key) + len(item.content or b'') for item in event.items
         )
         if event.is_whole or not 0 < size <= MAX_PUSH_BYTES:
-            self._send_confirmations(event.now_ms)
+            self._next_confirm_ms = event.now_ms + CONFIRM_INTERVAL_MS
+            self._confirm_to(peers, event.now_ms)
             return
-        push = ItemsPush(base, self._items.as_of, 0, event.items)
-        for peer in self._members.others:
+        age_ms = min(UNKNOWN_AGE_MS, self._items.age_ms(event.now_ms))
+        push = ItemsPush(base, self._items.as_of, age_ms, event.items)
+        for peer in peers:
             self._send(peer, push)
 
     def _on_message(self, event: PeerMessageReceived) -> None:
@@ -154,11 +219,28 @@
         now_ms: float,
     ) -> None:
         if digest.wants_reply:
-            self._send(sender, self._digest(now_ms, wants_reply=False))
+            self._reply(sender, digest, now_ms)
         if digest.newest > self._items.as_of:
-            self._node.events.publish(ItemsBehind(sender, now_ms))
+            # Until the first read has failed or takes long, the store returns
+            # what this node lacks, without transfer between zones.
+            if not self._plan.is_first_read_due(now_ms):
+                self._node.events.publish(ItemsBehind(sender, now_ms))
         elif digest.store_age_ms < UNKNOWN_AGE_MS:
             self._items.confirm(digest.as_of, now_ms - digest.store_age_ms)
+            is_news = not digest.wants_reply and len(digest.members) == 1
+            if (
+                is_news
+                and self._delegates.is_delegate
+                and self._delegates.is_remote(sender)
+            ):
+                self._confirm_to(self._delegates.zone_members, now_ms)
+
+    def _reply(self, sender: NodeId, digest: Digest, now_ms: float) -> None:
+        """Reply with a digest that names the delegates of the sender's zone."""
+        zones = [vm.availability_zone for vm in digest.members[:1]]
+        first = self._delegates.of_zone(zones[0]) if zones else ()
+        reply = self._digest(now_ms, wants_reply=False, first=first)
+        self._send(sender, reply)
 
     def _on_push(
         self,
--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_roles.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_roles.py
@@ -1,8 +1,7 @@
 """Selects the node that reads the store for the others, and its standbys."""
 
-import xxhash
-
 from figdoor_decisions.gossip._members import Members
+from figdoor_decisions.gossip._ranking import rank_key
 from figdoor_kernel import (
     Extension,
     MembersChanged,
@@ -30,7 +29,6 @@
 
     def __init__(self, node: Node) -> None:
         """Subscribe to members."""
-        self._node = node
         self._members: Members = node.part(Extension.SERVICE, 'members')
         self._seeds = frozenset(node.options.seeds)
         self._rank = self._rank_among(())
@@ -57,19 +55,10 @@
         self._rank = self._rank_among(event.members)
 
     def _rank_among(self, members: tuple[Vm, ...]) -> int:
-        own_address = self._node.options.peer_address
-        is_seed = own_address in self._seeds
+        own = self._members.own_row()[0]
+        own_key = rank_key(own, self._seeds)
+        is_seed = not own_key[0]
         if len(members) < 2 and self._seeds and not is_seed:
             # A node that has just started does not know the reader yet.
             return len(_TAKEOVER_MS)
-        own_key = (not is_seed, *_hash(self._node.node_id))
-        return sum(
-            (f'{vm.host}:{vm.port}' not in self._seeds, *_hash(vm.vm_id))
-            < own_key
-            for vm in members
-            if vm.vm_id != self._node.node_id
-        )
-
-
-def _hash(node_id: str) -> tuple[int, str]:
-    return xxhash.xxh64_intdigest(node_id.encode()), node_id
+        return sum(rank_key(vm, self._seeds) < own_key for vm in members)
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -35,6 +35,9 @@
 # Changes often come in groups; the interval limits the calls to the store.
 MIN_INTERVAL_MS = 200.0
 FIRST_BACKOFF_MS = 100.0
+# The store returns all pages in a tenth of a second. A node that has waited this
+# long at its start takes the items of a peer.
+MAX_FIRST_READ_MS = 300.0
 MAX_BACKOFF_MS = 800.0
 
 
@@ -80,6 +83,7 @@
         self._needs_whole = True
         # Whether the store has lost the history after a stale read.
         self._needs_exact = False
+        self._first_read_ms: float | None = None
         self._backoff_ms: float = 0
         self._next_ms = float('-inf')
 
@@ -88,6 +92,8 @@
         if now_ms < self._next_ms:
             return None
         if self._needs_whole:
+            if self._first_read_ms is None:
+                self._first_read_ms = now_ms
             may_be_stale = not self._needs_exact
             return StoreRead(ReadKind.WHOLE, Revision(0), 0, may_be_stale)
         wait_ms = WATCH_WAIT_MS
@@ -97,6 +103,13 @@
             wait_ms = CHECK_WAIT_MS
         return StoreRead(ReadKind.WATCH, self._items.as_of, wait_ms)
 
+    def is_first_read_due(self, now_ms: float) -> bool:
+        """Return whether the first read of the store will soon succeed."""
+        if not self._needs_whole or self._backoff_ms:
+            return False
+        started_ms = self._first_read_ms
+        return started_ms is None or now_ms - started_ms <= MAX_FIRST_READ_MS
+
     def record_success(self, now_ms: float) -> None:
         """Record a successful read and schedule the next one."""
         self._update_state(is_up=True, reason='answered', now_ms=now_ms)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -67,6 +67,7 @@
   wantsReply @3 :Bool;
   members @4 :List(VmRow);
   agesMs @5 :List(UInt64);
+  memberCount @6 :UInt64;
 }
 
 struct ItemsPush {
--- a/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -199,7 +199,8 @@
     The sender has every change up to revision ``as_of``, and no item changed
     after ``newest``. The store confirmed this ``store_age_ms`` ago.
     ``members`` starts with the sender itself; ``ages_ms`` is the time since
-    each member was last known to run.
+    each member was last known to run. ``member_count`` is the number of all
+    members that the sender knows, itself included.
     """
 
     as_of: Revision
@@ -208,6 +209,7 @@
     wants_reply: bool
     members: tuple[Vm, ...]
     ages_ms: tuple[int, ...]
+    member_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -1,5 +1,7 @@
 """Members, reader roles and the relay of items among several nodes."""
 
+from collections import Counter
+
 import pytest
 from support import ManualClock, Recorder, store_node
 
@@ -21,11 +23,13 @@
 class Fleet:
     """Nodes whose datagrams arrive at once, unless a node is cut off."""
 
-    def __init__(self, size):
+    def __init__(self, size, zones=1):
         self.clock = ManualClock()
         self.nodes = {}
         self.cut = set()
         self.size = size
+        self.zones = zones
+        self.sent = Counter()
         for number in range(size):
             self.start(number)
 
@@ -34,6 +38,7 @@
         node = store_node(
             name,
             self.clock,
+            zone=f'z{number % self.zones}',
             seed=number,
             fleet_nodes=1,
             seeds=('10.0.0.0:9', '10.0.0.1:9'),
@@ -53,6 +58,7 @@
         node.part(Extension.SERVICE, 'members').start()
 
     def deliver(self, sender, target, message):
+        self.sent[sender] += 1
         if {sender, target} & self.cut or target not in self.nodes:
             return
         now_ms = self.clock.now_ms()
@@ -214,3 +220,121 @@
         items = fleet.part(other, 'published-items')
         fleet.run(3000)
         assert items.age_ms(fleet.clock.now_ms()) >= 2000
+
+
+class TestZones:
+    """News reach every node, with few messages from any one of them."""
+
+    SIZE = 48
+    ZONES = 6
+
+    @pytest.fixture(scope='class')
+    @classmethod
+    def fleet(cls):
+        fleet = Fleet(cls.SIZE, cls.ZONES)
+        fleet.run(20_000)
+        for name in fleet.nodes:
+            fleet.read(name, as_of=10)
+            fleet.part(name, 'store-reading').record_success(0)
+        return fleet
+
+    def delegates(self, fleet):
+        return {
+            name
+            for name in fleet.nodes
+            if fleet.part(name, 'zone-delegates').is_delegate
+        }
+
+    def lacking(self, fleet, key):
+        return {
+            name
+            for name in fleet.nodes
+            if key not in fleet.part(name, 'published-items').items
+        }
+
+    def test_each_zone_has_two_delegates(self, fleet):
+        assert len(self.delegates(fleet)) == 2 * self.ZONES
+
+    def test_change_reaches_all_zones_through_their_delegates(self, fleet):
+        """Guards against a reader whose messages grow with the fleet."""
+        (reader,) = fleet.readers()
+        before = fleet.sent.copy()
+        fleet.read(reader, PublishedItem('a', 12, b'x'), as_of=12)
+        assert not self.lacking(fleet, 'a')
+        most = max((fleet.sent - before).values())
+        assert most <= self.SIZE // self.ZONES + 2 * self.ZONES
+
+    def test_confirmation_reaches_all_zones(self, fleet):
+        """Guards against nodes that read the store although a reader does."""
+        (reader,) = fleet.readers()
+        fleet.clock.advance_ms(500)
+        fleet.read(reader, as_of=20)
+        now_ms = fleet.clock.now_ms()
+        for name in fleet.nodes:
+            assert not fleet.part(name, 'published-items').age_ms(now_ms)
+
+    def test_change_reaches_the_others_of_a_zone_without_one_delegate(
+        self, fleet
+    ):
+        """Guards against a zone that depends on a single node."""
+        (reader,) = fleet.readers()
+        zone_of = {
+            name: fleet.nodes[name].availability_zone for name in fleet.nodes
+        }
+        cut = next(
+            name
+            for name in sorted(self.delegates(fleet))
+            if zone_of[name] != zone_of[reader]
+        )
+        fleet.cut = {cut}
+        fleet.read(reader, PublishedItem('b', 30, b'x'), as_of=30)
+        fleet.cut = set()
+        assert self.lacking(fleet, 'b') == {cut}
+
+    def test_large_change_is_fetched_from_a_delegate_of_the_zone(self, fleet):
+        """Guards against each node's fetching it from another zone."""
+        (reader,) = fleet.readers()
+        recorders = {
+            name: Recorder(node, ItemsBehind)
+            for name, node in fleet.nodes.items()
+        }
+        content = b'x' * 5000
+        fleet.read(reader, PublishedItem('c', 40, content), as_of=40)
+        fetching = {name for name in recorders if recorders[name].events}
+        delegates = self.delegates(fleet)
+        zone = fleet.nodes[reader].availability_zone
+        assert all(
+            name in delegates or fleet.nodes[name].availability_zone == zone
+            for name in fetching
+        )
+        for name in fetching:
+            now_ms = fleet.clock.now_ms()
+            item = PublishedItem('c', 40, content)
+            fleet.nodes[name].events.publish(
+                ItemsRead((item,), 40, False, False, now_ms)
+            )
+        assert not self.lacking_but_told(fleet, recorders)
+
+    def lacking_but_told(self, fleet, recorders):
+        """Return the nodes that neither have the change nor know of it."""
+        told = {name for name in recorders if recorders[name].events}
+        return self.lacking(fleet, 'c') - told
+
+    def test_all_nodes_divide_by_the_size_of_the_fleet(self, fleet):
+        """Guards against shares whose sum exceeds the budget of the fleet.
+
+        Digests hold a few members; beyond some dozens of nodes most of them
+        are missing from the list of a node that is no delegate.
+        """
+        for node in fleet.nodes.values():
+            assert fleet_size(node) >= self.SIZE
+
+    def test_delegates_know_every_member_of_their_zone(self, fleet):
+        for name in self.delegates(fleet):
+            zone = fleet.nodes[name].availability_zone
+            expected = {
+                other
+                for other, node in fleet.nodes.items()
+                if node.availability_zone == zone
+            }
+            assert expected <= fleet.listed_by(name)
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -148,6 +148,20 @@
         rig.items.confirm(5, 1000)
         assert (plan.next_read(1000 + age_ms) is not None) is reads
 
+    @pytest.mark.parametrize(
+        ('now_ms', 'fails', 'is_due'),
+        [(100, False, True), (400, False, False), (100, True, False)],
+    )
+    def test_items_of_peers_are_taken_once_the_first_read_is_late(
+        self, now_ms, fails, is_due
+    ):
+        """Guards against hundreds of transfers between zones at a start."""
+        plan = Rig().part('store-reading')
+        plan.next_read(0)
+        if fails:
+            plan.record_failure('down', 50)
+        assert plan.is_first_read_due(now_ms) is is_due
+
     def test_read_for_lack_of_a_confirmation_does_not_wait(self):
         """Guards against other nodes that read as well in the meantime."""
         rig = Rig(seeds=('10.0.0.1:9',))
