--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
@@ -8,7 +8,7 @@
 from figdoor_decisions.limits._connections import ConnectionLimits
 from figdoor_decisions.limits._fairness import TenantShare
 from figdoor_decisions.limits._sharing import UpstreamSharing
-from figdoor_decisions.limits._subsetting import choose_subset
+from figdoor_decisions.limits._subsetting import choose_subset, rendezvous_hash
 from figdoor_kernel import Extension, Registry
 
 __all__ = (
@@ -19,6 +19,7 @@
     'choose_subset',
     'connection_cap',
     'in_flight_cap',
+    'rendezvous_hash',
     'register',
     'register_caps',
 )
--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/_subsetting.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/_subsetting.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Sequence
-from functools import partial
+from functools import lru_cache, partial
 
 from xxhash import xxh64_intdigest
 
@@ -17,6 +17,9 @@
     UpstreamId,
 )
 
+# The hashes of one node and the upstreams of a large deployment.
+MAX_CACHED_HASHES = 2048
+
 
 def choose_subset(
     node_id: NodeId,
@@ -45,6 +48,7 @@
     return frozenset(subset)
 
 
+@lru_cache(maxsize=MAX_CACHED_HASHES)
 def rendezvous_hash(node_id: NodeId, upstream_id: UpstreamId) -> int:
     """Return the hash of a node and an upstream."""
     key = f'{node_id}\0{upstream_id}'
--- a/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_prober.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/load_probing/_prober.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from heapq import nlargest
 
+from figdoor_decisions.limits import rendezvous_hash
 from figdoor_decisions.load_probing._budget import ProbeBudget
 from figdoor_decisions.load_probing._loads import FreshLoads
 from figdoor_decisions.outliers import RequestedBackoff
@@ -21,6 +23,12 @@
 # A probe takes less than 1 ms within an availability zone and 3 ms between two.
 ROUND_TIMEOUT_MS = 12.0
 LOCAL_PROBES = 4
+# The first round draws from this many local upstreams. They stay the same while
+# the list does, so that a node with few calls finds open connections to them:
+# with 312 nodes and 55 upstreams per zone, each drawn anew from all of them,
+# four probes opened four connections. Three times the size of a round leaves
+# the choice among fresh reports as good as among all upstreams.
+SUBSET_SIZE = 12
 # Where the node's own availability zone has fewer candidates than this, the
 # first round also probes remote ones.
 MIN_PROBES = 3
@@ -152,10 +160,25 @@
             )
         # The first round sends a probe even if the budget is used up.
         count = max(1, round(scale * LOCAL_PROBES))
-        selected = self._draw(local, count)
+        selected = self._draw(self._subset(local), count)
         min_count = min(count, MIN_PROBES)
         return selected + self._draw(remote, min_count - len(selected))
 
+    def _subset(self, upstreams: list[Upstream]) -> list[Upstream]:
+        """Return the upstreams that this node prefers.
+
+        Each node prefers others. An upstream that joins or leaves changes the
+        subset by at most one.
+        """
+        if len(upstreams) <= SUBSET_SIZE:
+            return upstreams
+        node_id = self._node.node_id
+        return nlargest(
+            SUBSET_SIZE,
+            upstreams,
+            key=lambda upstream: rendezvous_hash(node_id, upstream.upstream_id),
+        )
+
     def _draw(self, upstreams: list[Upstream], count: int) -> list[Upstream]:
         size = max(0, min(count, len(upstreams)))
         return self._node.random.sample(upstreams, size)
--- a/tests/decisions/test_load_probing.py
+++ b/tests/decisions/test_load_probing.py
@@ -1,5 +1,7 @@
 """Selection of upstreams by probes that are sent for the call."""
 
+from collections import Counter
+
 import pytest
 from store_fleet import StoreNode, worker
 
@@ -166,3 +168,65 @@
         )
         store_node.open().next_step(store_node.now_ms)
         assert len(store_node.probed) == 3
+
+
+class TestSubset:
+    """Which of many local upstreams a node with few calls probes."""
+
+    WORKERS = tuple(f'w{number}' for number in range(56))
+
+    def node(self, node_id='n1', workers=WORKERS):
+        rig = StoreNode(*map(worker, workers), node_id=node_id, probes_per_s=60)
+        for name in workers:
+            rig.set_load(name)
+        return rig
+
+    def probed(self, rig, calls=40):
+        """Return the upstreams that calls in a row probe."""
+        seen = set()
+        for _ in range(calls):
+            rig.open().next_step(rig.now_ms)
+            seen.update(rig.probed)
+            rig.answer_probes()
+            rig.clock.advance_ms(400)
+        return seen
+
+    def test_node_meets_the_same_upstreams_again(self):
+        """Guards against a new connection for nearly every probe."""
+        assert len(self.probed(self.node())) <= 12
+
+    def test_upstream_that_leaves_changes_one_member(self):
+        before = self.probed(self.node())
+        gone = sorted(before)[0]
+        others = tuple(name for name in self.WORKERS if name != gone)
+        after = self.probed(self.node(workers=others))
+        assert len(before - after) == 1
+
+    def test_every_upstream_is_probed_by_some_nodes_of_the_zone(self):
+        """Guards against an upstream that no node of its zone prefers."""
+        counts = Counter()
+        for number in range(52):
+            counts.update(self.probed(self.node(f'n{number}'), calls=20))
+        assert set(counts) == set(self.WORKERS)
+        mean = counts.total() / len(self.WORKERS)
+        assert max(counts.values()) <= 2.5 * mean
+
+    def test_second_round_uses_all_local_upstreams(self):
+        """Guards against calls refused while other upstreams are idle."""
+        rig = self.node()
+        usual = self.probed(rig)
+        for name in usual:
+            rig.set_load(name, running=6, waiting=2)
+        selected = set()
+        for _ in range(20):
+            exchange = rig.open()
+            step = exchange.next_step(rig.now_ms)
+            while isinstance(step, Wait):
+                rig.answer_probes()
+                rig.clock.advance_ms(
+                    max(1, min(20, step.until_ms - rig.now_ms))
+                )
+                step = exchange.next_step(rig.now_ms)
+            assert isinstance(step, Send)
+            selected.add(step.upstream.upstream_id)
+        assert not selected & usual
--- a/tests/gateway/test_probing.py
+++ b/tests/gateway/test_probing.py
@@ -3,34 +3,43 @@
 Guards against failed probes that count as successful or are never reported.
 """
 
+from types import SimpleNamespace
+
+from store_fleet import StoreNode, worker
 from support import Recorder, make_node, publish_vm_list, upstream_vm
 from treq.testing import StubTreq
 from twisted.web.pages import errorPage
 from twisted.web.resource import Resource
 
-from figdoor_gateway.probing import LoadProbes
+from figdoor_gateway.probing import HealthProbes, LoadProbes
+from figdoor_gateway.protocols import ResponseHead
 from figdoor_kernel import (
+    BackoffRequested,
+    Extension,
     InstanceId,
+    LeavingSeen,
     LoadReport,
     ProbeEnded,
     ProbeRequested,
     ReportSeen,
 )
+from figdoor_platform import PlatformDialect
 
 
 class LoadPage(Resource):
     isLeaf = True
 
-    def __init__(self, header):
+    def __init__(self, header, body=b''):
         super().__init__()
         self.header = header
+        self.body = body
         self.requests = 0
 
     def render_GET(self, request):  # noqa: N802
         self.requests += 1
         if self.header is not None:
             request.setHeader('Figdoor-Load', self.header)
-        return b''
+        return self.body
 
 
 class TestLoadProbes:
@@ -60,6 +69,12 @@
         self.probe(page)
         assert page.requests == 1
 
+    def test_body_beyond_the_limit_is_a_failed_probe(self):
+        """Guards against memory filled by a body without end."""
+        header = 'running=3, instance=ab12, draining=0'
+        assert not self.probe(LoadPage(header, b'a' * 70_000))
+        assert [event.succeeded for event in self.ended.events] == [False]
+
     def test_response_without_report_is_failed_probe(self):
         assert not self.probe(LoadPage(None))
         assert [event.succeeded for event in self.ended.events] == [False]
@@ -81,3 +96,50 @@
         self.node.events.publish(ProbeRequested('w1', 0))
         probes.stop()
         assert [event.succeeded for event in ended.events] == [False]
+
+
+class FakeTransport:
+    """Keeps the receivers of requests for the test."""
+
+    def __init__(self, node):
+        self.receivers = []
+
+    def send(self, upstream, request, receiver):
+        self.receivers.append(receiver)
+        return SimpleNamespace(cancel=lambda: None)
+
+
+class TestHealthProbes:
+    def probe(self, instance):
+        """Answer a probe with the words of a worker that is leaving."""
+        rig = StoreNode(worker('i-1'))
+        node = rig.node
+        node.settings = SimpleNamespace(dialect='platform')
+        node.registry.provide(
+            Extension.DIALECT, 'platform', lambda _: PlatformDialect()
+        )
+        node.registry.provide(
+            Extension.UPSTREAM_TRANSPORT, 'http', FakeTransport
+        )
+        probes = HealthProbes(node)
+        self.leaving = Recorder(node, LeavingSeen)
+        self.backoffs = Recorder(node, BackoffRequested)
+        node.events.publish(ProbeRequested('i-1', rig.now_ms))
+        transport = node.part(Extension.UPSTREAM_TRANSPORT, 'http')
+        headers = [(b'instance-id', instance)]
+        head = ResponseHead(
+            503, b'', headers, 0, False, False, None, True, 2000
+        )
+        transport.receivers[0].on_head(head)
+        transport.receivers[0].on_complete()
+        probes.stop()
+
+    def test_words_of_the_worker_are_published(self):
+        """Guards against a leaving worker that is noticed by its list only."""
+        self.probe(b'i-1')
+        assert [event.upstream for event in self.leaving.events] == ['i-1']
+        assert [event.duration_ms for event in self.backoffs.events] == [2000]
+
+    def test_words_of_another_worker_at_the_address_are_ignored(self):
+        self.probe(b'i-2')
+        assert not self.leaving.events + self.backoffs.events
