--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
@@ -33,7 +33,14 @@
 
     def wait_reason(self, now_ms: float) -> str | None:
         """Return what the first tables wait for, ``None`` once accepted."""
-        return 'tables' if self._node.tables is None else None
+        if self._node.tables is not None:
+            return None
+        if not self.findings:
+            return 'tables'
+        return (
+            f'tables; revision {self.refused_revision} is refused: '
+            f'{self.findings[0]}'
+        )
 
     def _on_read(self, event: TablesRead) -> None:
         if event.tables.revision > self.revision:
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -9,9 +9,12 @@
 from figdoor_decisions.published import ReadKind
 from figdoor_kernel import (
     Extension,
+    Finding,
     ItemsRead,
+    Place,
     PublishedItem,
     TablesAccepted,
+    TablesRefused,
 )
 
 
@@ -109,6 +112,19 @@
         assert len(seen.events) == 1
 
 
+class TestWaitReason:
+    def test_reason_names_the_refused_revision_and_its_finding(self):
+        """Guards against a fleet that is unready without saying why."""
+        rig = Rig()
+        acceptance = rig.part('acceptance')
+        assert acceptance.wait_reason(0) == 'tables'
+        finding = Finding(Place('configuration'), 'Services is 7, not list')
+        rig.node.events.publish(TablesRefused(9, (finding,), 0))
+        reason = acceptance.wait_reason(0)
+        assert 'revision 9' in reason
+        assert 'Services is 7' in reason
+
+
 class TestReading:
     """Guards against missed changes and against needless reads of the store."""
 
