Test that the words of an upstream that sheds a call are published

Change: a test in test_proxying.py. Measurement: the test fails if on_head does not publish the two events.

--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -5,9 +5,16 @@
 """
 
 import pytest
+from support import Recorder
 from wires import GET, HEAD, FrontEndRig
 
-from figdoor_kernel import AttemptEnded, AttemptSent
+from figdoor_gateway.protocols import ResponseHead
+from figdoor_kernel import (
+    AttemptEnded,
+    AttemptSent,
+    BackoffRequested,
+    LeavingSeen,
+)
 
 POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
 LARGE = POST + b'Content-Length: 300\r\n\r\n' + b'a' * 200
@@ -291,3 +298,21 @@
         assert not wire.value()
         second.respond(body=b'second')
         assert wire.value().endswith(b'second')
+
+
+class TestNotices:
+    def test_words_of_an_upstream_are_published_though_it_shed_the_call(
+        self, rig
+    ):
+        """Guards against a leaving upstream that gets the next call, too."""
+        leaving = Recorder(rig.node, LeavingSeen)
+        backoffs = Recorder(rig.node, BackoffRequested)
+        rig.request()
+        attempt = rig.attempts[0]
+        head = ResponseHead(503, b'', [], 0, True, False, None, True, 500)
+        attempt.receiver.on_head(head)
+        attempt.receiver.on_complete()
+        first = attempt.upstream.upstream_id
+        assert [event.upstream for event in leaving.events] == [first]
+        assert [event.duration_ms for event in backoffs.events] == [500]
+        assert rig.attempts[1].upstream.upstream_id != first
