Show the size of responses to operators, and test where large ones go

Cause: the optional column response_size had no test of its own, no example and no place on the operators' pages.

--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_rows.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_rows.py
@@ -29,6 +29,7 @@
             'tenant': route.tenant or f'header:{route.tenant_attribute}',
             'deadline_ms': route.deadline_ms,
             'retry_percent': route.retry_percent,
+            'response_size': route.response_size.value,
         }
         for route in table
     ]
--- a/tests/decisions/test_load_probing.py
+++ b/tests/decisions/test_load_probing.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 import pytest
-from store_fleet import StoreNode, worker
+from store_fleet import StoreNode, route, store_tables, worker
 
 from figdoor_kernel import (
     AttemptResult,
@@ -11,6 +11,7 @@
     Finish,
     Outcome,
     Refusal,
+    ResponseSize,
     Send,
     Wait,
 )
@@ -170,6 +171,42 @@
         assert len(store_node.probed) == 3
 
 
+class TestLargeResponses:
+    """Guards against the transfer of large responses between zones."""
+
+    def node(self, size):
+        routes = [route(response_size=size)]
+        rig = StoreNode(
+            worker('a'),
+            worker('b'),
+            worker('c', 'z2'),
+            worker('d', 'z2'),
+            tables=store_tables(routes=routes),
+        )
+        for name in 'ab':
+            rig.set_load(name, slowness=2)
+        for name in 'cd':
+            rig.set_load(name)
+        return rig
+
+    def selected(self, rig):
+        exchange = rig.open()
+        step = exchange.next_step(rig.now_ms)
+        while isinstance(step, Wait):
+            rig.answer_probes()
+            rig.clock.advance_ms(1)
+            step = exchange.next_step(rig.now_ms)
+        return step.upstream
+
+    def test_slow_local_upstream_in_time_goes_before_a_fast_remote_one(self):
+        rig = self.node(ResponseSize.LARGE)
+        assert self.selected(rig).availability_zone == 'z1'
+
+    def test_small_response_comes_from_the_fastest(self):
+        rig = self.node(ResponseSize.SMALL)
+        assert self.selected(rig).availability_zone == 'z2'
+
+
 class TestSubset:
     """Which of many local upstreams a node with few calls probes."""
 
