--- a/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/limits/__init__.py
@@ -22,16 +22,22 @@
     'rendezvous_hash',
     'register',
     'register_caps',
+    'register_connections',
 )
 
 
 def register(registry: Registry) -> None:
-    """Provide the subsets and the connection limits."""
+    """Provide the subsets, and the connection limits that follow from them."""
+    registry.provide(Extension.SERVICE, 'sharing', UpstreamSharing)
+    register_connections(registry)
+
+
+def register_connections(registry: Registry) -> None:
+    """Provide the connection limits; another plug-in provides ``sharing``."""
     registry.provide(Extension.SERVICE, 'connection-limits', ConnectionLimits)
 
 
 def register_caps(registry: Registry) -> None:
     """Provide the in-flight caps and the tenants' shares."""
-    registry.provide(Extension.SERVICE, 'sharing', UpstreamSharing)
     registry.provide(Extension.CANDIDATE_RULE, 'in-flight', InFlightLimit)
     registry.provide(Extension.ADMISSION_RULE, 'tenant-share', TenantShare)
