Build digests in one place

Cause: the relay built the same digest in three places. Change: _make_digest; the condition for passing a confirmation on has a name. No change of behaviour.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -19,6 +19,7 @@
     Service,
     StopNotice,
     Tick,
+    Vm,
 )
 
 # Interval of the random exchange of members; transfer between availability
@@ -104,7 +105,7 @@
             peers = self._members.others
         if peers:
             peer = self._node.random.choice(peers)
-            self._send(peer, self._digest(now_ms, wants_reply=True))
+            self._send(peer, self._sample_digest(now_ms, wants_reply=True))
         if self._delegates.is_delegate and (
             self._exchange_count % OTHER_ZONES_EVERY == 0
         ):
@@ -113,15 +114,7 @@
     def _send_zone(self, now_ms: float) -> None:
         """Send the members of the own zone to a delegate of each other one."""
         for rows, ages_ms in self._members.zone_chunks(now_ms):
-            digest = Digest(
-                self._items.as_of,
-                self._items.newest_revision,
-                min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
-                False,
-                rows,
-                ages_ms,
-                self._members.own_count,
-            )
+            digest = self._make_digest(now_ms, rows, ages_ms)
             for delegates in self._delegates.remote:
                 self._send(self._node.random.choice(delegates), digest)
 
@@ -134,7 +127,7 @@
             if address != self._node.options.peer_address and (
                 address not in member_addresses
             ):
-                digest = self._digest(now_ms, wants_reply=True)
+                digest = self._sample_digest(now_ms, wants_reply=True)
                 self._node.events.publish(AddressSendRequested(address, digest))
 
     def _send_confirmations(self, now_ms: float) -> None:
@@ -144,26 +137,29 @@
             self._confirm_to(self._delegates.recipients, now_ms)
 
     def _confirm_to(self, peers: tuple[NodeId, ...], now_ms: float) -> None:
-        digest = Digest(
-            self._items.as_of,
-            self._items.newest_revision,
-            min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
-            False,
-            self._members.own_row(),
-            (0,),
-            self._members.own_count,
-        )
+        digest = self._make_digest(now_ms, self._members.own_row(), (0,))
         for peer in peers:
             self._send(peer, digest)
 
-    def _digest(
+    def _sample_digest(
         self,
         now_ms: float,
         *,
         wants_reply: bool,
         first: tuple[NodeId, ...] = (),
     ) -> Digest:
+        """Return a digest of the members ``first`` and of random ones."""
         rows, ages_ms = self._members.sample(now_ms, first)
+        return self._make_digest(now_ms, rows, ages_ms, wants_reply=wants_reply)
+
+    def _make_digest(
+        self,
+        now_ms: float,
+        rows: tuple[Vm, ...],
+        ages_ms: tuple[int, ...],
+        *,
+        wants_reply: bool = False,
+    ) -> Digest:
         return Digest(
             self._items.as_of,
             self._items.newest_revision,
@@ -227,19 +223,23 @@
                 self._node.events.publish(ItemsBehind(sender, now_ms))
         elif digest.store_age_ms < UNKNOWN_AGE_MS:
             self._items.confirm(digest.as_of, now_ms - digest.store_age_ms)
-            is_news = not digest.wants_reply and len(digest.members) == 1
-            if (
-                is_news
-                and self._delegates.is_delegate
-                and self._delegates.is_remote(sender)
-            ):
+            if self._is_for_zone(sender, digest):
                 self._confirm_to(self._delegates.zone_members, now_ms)
 
+    def _is_for_zone(self, sender: NodeId, digest: Digest) -> bool:
+        """Return whether to pass a confirmation on to the own zone.
+
+        A confirmation names its sender only.
+        """
+        is_confirmation = not digest.wants_reply and len(digest.members) == 1
+        is_remote = self._delegates.is_remote(sender)
+        return is_confirmation and is_remote and self._delegates.is_delegate
+
     def _reply(self, sender: NodeId, digest: Digest, now_ms: float) -> None:
         """Reply with a digest that names the delegates of the sender's zone."""
         zones = [vm.availability_zone for vm in digest.members[:1]]
         first = self._delegates.of_zone(zones[0]) if zones else ()
-        reply = self._digest(now_ms, wants_reply=False, first=first)
+        reply = self._sample_digest(now_ms, wants_reply=False, first=first)
         self._send(sender, reply)
 
     def _on_push(
