Find the upstream of an attempt in one place

Cause: three methods of Exchange looked up the attempt and its upstream alike. Change: _upstream_of; no change of behaviour. Measurement: tests of the kernel and the front end pass.

--- a/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_exchange.py
@@ -134,16 +134,14 @@
         number: int | None = None,
     ) -> None:
         """Publish a load report that the upstream of an attempt sent."""
-        attempt = self._find_attempt(number)
-        if attempt is not None:
-            upstream_id = attempt.upstream.upstream_id
+        upstream_id = self._upstream_of(number)
+        if upstream_id is not None:
             self._events.publish(ReportSeen(upstream_id, report, now_ms))
 
     def report_leaving(self, now_ms: float, number: int | None = None) -> None:
         """Publish that the upstream of an attempt says that it is leaving."""
-        attempt = self._find_attempt(number)
-        if attempt is not None:
-            upstream_id = attempt.upstream.upstream_id
+        upstream_id = self._upstream_of(number)
+        if upstream_id is not None:
             self._events.publish(LeavingSeen(upstream_id, now_ms))
 
     def request_backoff(
@@ -153,9 +151,8 @@
         number: int | None = None,
     ) -> None:
         """Publish that the upstream of an attempt asks for a pause."""
-        attempt = self._find_attempt(number)
-        if attempt is not None:
-            upstream_id = attempt.upstream.upstream_id
+        upstream_id = self._upstream_of(number)
+        if upstream_id is not None:
             event = BackoffRequested(upstream_id, duration_ms, now_ms)
             self._events.publish(event)
 
@@ -231,6 +228,10 @@
             return self._attempts.get(number)
         return self._attempts.get(max(self._attempts, default=0))
 
+    def _upstream_of(self, number: int | None) -> UpstreamId | None:
+        attempt = self._find_attempt(number)
+        return attempt.upstream.upstream_id if attempt else None
+
     def _end_attempt(
         self,
         attempt: '_CurrentAttempt',
