Keep a draining notice that arrives before the first VM list

Cause: since a notice of a peer about an upstream that is not listed yet was kept for the named instance only. A VM list that names no instances never matches it, so a node that had just started sent to the draining upstream. Change: the notice also holds for an upstream without a listed instance, until a load report shows another one. Measurement: TestListWithoutInstances fails without the change; tests of decisions, kernel, traces and the store's state machine pass.

--- a/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/eligibility/_rules.py
@@ -87,7 +87,12 @@
         upstream_id = upstream.upstream_id
         if upstream_id in self._draining:
             return DENY
-        if self._leaving.get(upstream_id) == upstream.instance:
+        leaving_instance = self._leaving.get(upstream_id)
+        # A VM list may name no instances; its upstream is then the one that
+        # leaves until a load report shows another instance.
+        if leaving_instance is not None and (
+            upstream.instance in {leaving_instance, InstanceId('')}
+        ):
             return DENY
         return ALLOW
 
@@ -103,6 +108,17 @@
                 )
         elif draining_instance is not None and draining_instance != instance:
             self._draining.pop(event.upstream)
+        self._drop_replaced(event.upstream, instance)
+
+    def _drop_replaced(
+        self, upstream_id: UpstreamId, instance: InstanceId
+    ) -> None:
+        """Forget a leaving instance if the list names none and it is gone."""
+        upstream = self._node.fleet.find(upstream_id)
+        if upstream is None or upstream.instance or not instance:
+            return
+        if self._leaving.get(upstream_id) != instance:
+            self._leaving.pop(upstream_id, None)
 
     def _on_leaving(self, event: LeavingSeen) -> None:
         upstream = self._node.fleet.find(event.upstream)
--- a/tests/decisions/test_requested_backoff.py
+++ b/tests/decisions/test_requested_backoff.py
@@ -2,14 +2,24 @@
 
 import pytest
 from store_fleet import StoreNode, worker
-from support import Recorder
+from support import (
+    Recorder,
+    make_call,
+    make_node,
+    publish_tables,
+    publish_vm_list,
+    upstream_vm,
+)
 
 from figdoor_kernel import (
     BackoffRequested,
     BroadcastRequested,
+    Dispatcher,
     Finish,
     LeavingSeen,
+    LoadReport,
     NodeId,
+    ReportSeen,
     Send,
     Tick,
     UpdateReceived,
@@ -152,3 +162,21 @@
             UpdateReceived(NodeId('n2'), update, rig.now_ms)
         )
         assert rig.selected(20) == selected
+
+
+class TestListWithoutInstances:
+    """Upstreams of a VM list that does not name their instances."""
+
+    def test_update_before_the_first_list_holds_until_a_new_instance(self):
+        """Guards against requests to an upstream that drains at a start."""
+        node = make_node()
+        publish_tables(node)
+        update = UpstreamDraining('w1', 'ab')
+        node.events.publish(UpdateReceived(NodeId('n2'), update, 0))
+        publish_vm_list(node, upstream_vm('w1'))
+        dispatcher = Dispatcher(node)
+        step = dispatcher.open(make_call(), 0, lambda: None).next_step(0)
+        assert not isinstance(step, Send)
+        node.events.publish(ReportSeen('w1', LoadReport('cd', 0), 0))
+        step = dispatcher.open(make_call(), 0, lambda: None).next_step(0)
+        assert isinstance(step, Send)
