Make the platform of review case 4 stricter

Cause: the stand-in platform sent new connections to a zone of which no node was in rotation, and there is no other zone in the script. Change: nobody connects then.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,11 +27,11 @@
 GRACE_S = 6.0
 # A request sent later than this after SIGTERM is excused by no work left.
 EXCUSED_S = 3.0
-WORK_S = (1.5, 3.0)
+WORK_S = (2.5, 4.0)
 DEADLINE_S = 15.0
 CONNECT_GAP_S = 0.05
 # From the opening of a connection to its first request.
-THINK_S = (0.0, 0.95)
+THINK_S = (0.5, 0.95)
 
 
 class Rotation:
@@ -50,9 +50,15 @@
             await asyncio.sleep(1)
 
     def targets(self):
-        """Return those in rotation, or all if they are fewer than half."""
+        """Return those in rotation, or all if they are fewer than half.
+
+        While none is in rotation, the nodes of other zones are used. There
+        are none here, so that nobody connects.
+        """
         ready = [node for node in self._nodes if self._misses[node] < 2]
-        return ready if 2 * len(ready) >= len(self._nodes) else self._nodes
+        if not ready or 2 * len(ready) >= len(self._nodes):
+            return ready
+        return self._nodes
 
 
 async def call(record, node, number, rng, calls):
@@ -139,11 +145,14 @@
             break
         for worker in workers:
             worker.work_s = rng.uniform(*WORK_S)
-        node = rng.choice(rotation.targets())
+        await asyncio.sleep(CONNECT_GAP_S)
+        targets = rotation.targets()
+        if not targets:
+            continue
+        node = rng.choice(targets)
         task = asyncio.create_task(call(record, node, number, rng, calls))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
-        await asyncio.sleep(CONNECT_GAP_S)
     await asyncio.wait(tasks, timeout=12)
     for task in asking:
         task.cancel()
