--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
 SERVES_ON_S = 14.0
 PLAY_S = 90.0
 ZONES = ('delta', 'piney', 'gulf')
-NODES = 4
+NODES = 6
 ROLL_GAP_S = 1.0
 RELEASE_GAP_S = 0.87
 # From the entry of the new worker to the removal of the old one's.
@@ -62,9 +62,7 @@
             f'entry is removed, revision {self.store.revision}',
             at_s,
         )
-        asyncio.get_running_loop().call_later(
-            DRAIN_S + SERVES_ON_S, old.stop
-        )
+        asyncio.get_running_loop().call_later(DRAIN_S + SERVES_ON_S, old.stop)
 
     async def release(self, service, delay_s):
         await asyncio.sleep(delay_s)
@@ -73,7 +71,7 @@
             await asyncio.sleep(RELEASE_GAP_S - HAND_OVER_S)
 
     async def heartbeats(self):
-        """Write the entries; the store gets them every heartbeat."""
+        """Count up the entries; nothing else changes, so none is written."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
             for workers in self.listed.values():
--- a/review/stand/case.py
+++ b/review/stand/case.py
@@ -31,7 +31,9 @@
 
     def save(self, verdict):
         """Write all lines in the order of their times, and the verdict."""
-        lines = [line for _, line in sorted(self._lines, key=lambda row: row[0])]
+        lines = [
+            line for _, line in sorted(self._lines, key=lambda row: row[0])
+        ]
         self._path.write_text('\n'.join([*lines, verdict, '']))
         print(verdict)
 
--- a/review/stand/workers.py
+++ b/review/stand/workers.py
@@ -112,6 +112,4 @@
         signed = self._common(headers) | {
             'Server-Signature': f'{self.worker_id}.1'
         }
-        return render(
-            'HTTP/1.1 200 OK', signed, f'{self.worker_id}\n'.encode()
-        )
+        return render('HTTP/1.1 200 OK', signed, f'{self.worker_id}\n'.encode())
