Log from whom a node learns that its items are complete

Change: each time a node's copy of the store becomes complete up to a higher revision, it publishes ItemsAdvanced, and the decision log writes a line "items" with both revisions, the source (store, peer, confirmation), the peer and the number of items that changed.

The new test in tests/gateway/test_decision_log.py fails without the event.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -222,7 +222,9 @@
             if not self._plan.is_first_read_due(now_ms):
                 self._node.events.publish(ItemsBehind(sender, now_ms))
         elif digest.store_age_ms < UNKNOWN_AGE_MS:
-            self._items.confirm(digest.as_of, now_ms - digest.store_age_ms)
+            self._items.confirm(
+                digest.as_of, digest.store_age_ms, sender, now_ms
+            )
             if self._is_for_zone(sender, digest):
                 self._confirm_to(self._delegates.zone_members, now_ms)
 
@@ -253,9 +255,9 @@
         if push.base > self._items.as_of:
             self._node.events.publish(ItemsBehind(sender, now_ms))
             return
-        read = ItemsRead(push.items, push.as_of, False, False, now_ms)
+        read = ItemsRead(push.items, push.as_of, False, False, now_ms, sender)
         self._node.events.publish(read)
-        self._items.confirm(push.as_of, now_ms - push.store_age_ms)
+        self._items.confirm(push.as_of, push.store_age_ms, sender, now_ms)
 
     def _send(
         self, peer: NodeId, message: Digest | ItemsPush | StopNotice
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -4,9 +4,12 @@
 from dataclasses import dataclass
 
 from figdoor_kernel import (
+    ItemsAdvanced,
     ItemsChanged,
     ItemsRead,
+    ItemsSource,
     Node,
+    NodeId,
     PublishedItem,
     Revision,
     Service,
@@ -82,10 +85,12 @@
         """Return the time since the store was known to have nothing newer."""
         return now_ms - max(self._confirmed_ms, self._store_read_ms)
 
-    def confirm(self, as_of: Revision, at_ms: float) -> None:
-        """Record that the items were complete up to ``as_of`` at that time."""
-        self.as_of = max(self.as_of, as_of)
-        self._confirmed_ms = max(self._confirmed_ms, at_ms)
+    def confirm(
+        self, as_of: Revision, age_ms: float, peer: NodeId, now_ms: float
+    ) -> None:
+        """Record that the items were complete up to ``as_of`` that long ago."""
+        self._confirmed_ms = max(self._confirmed_ms, now_ms - age_ms)
+        self._advance(as_of, ItemsSource.CONFIRMATION, peer, 0, now_ms)
 
     def _on_read(self, event: ItemsRead) -> None:
         if event.from_store:
@@ -93,14 +98,31 @@
         changed = [item for item in event.items if self._merge(item)]
         if event.is_whole:
             changed.extend(self._remove_missing(event))
-        self.as_of = max(self.as_of, event.as_of)
         for item in event.items:
             self.newest_revision = max(self.newest_revision, item.revision)
+        source = ItemsSource.STORE if event.from_store else ItemsSource.PEER
+        count = len(changed)
+        self._advance(event.as_of, source, event.peer, count, event.now_ms)
         if changed:
             self._node.events.publish(
                 ItemsChanged(tuple(changed), event.now_ms),
             )
 
+    def _advance(
+        self,
+        as_of: Revision,
+        source: ItemsSource,
+        peer: NodeId,
+        changed: int,
+        now_ms: float,
+    ) -> None:
+        before = self.as_of
+        if as_of > before:
+            self.as_of = as_of
+            self._node.events.publish(
+                ItemsAdvanced(before, as_of, source, peer, changed, now_ms)
+            )
+
     def _merge(self, item: PublishedItem) -> bool:
         current = self._items.get(item.key) or self._removed.get(item.key)
         if current is not None and current.revision >= item.revision:
--- a/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
@@ -9,6 +9,7 @@
     CallClosed,
     DependencyChanged,
     ItemRejected,
+    ItemsAdvanced,
     MembersChanged,
     Node,
     NodeStateChanged,
@@ -44,6 +45,7 @@
         subscribe(TablesAccepted, self._on_accepted)
         subscribe(TablesRefused, self._on_refused)
         subscribe(ItemRejected, self._on_rejected)
+        subscribe(ItemsAdvanced, self._on_items)
         subscribe(VmListChanged, self._on_vm_list)
         subscribe(MembersChanged, self._on_members)
         subscribe(NodeStateChanged, self._on_state)
@@ -99,6 +101,17 @@
             reason=event.reason,
         )
 
+    def _on_items(self, event: ItemsAdvanced) -> None:
+        self._write(
+            'items',
+            event.now_ms,
+            before=event.before,
+            as_of=event.as_of,
+            source=event.source.value,
+            peer=event.peer,
+            changed=event.changed,
+        )
+
     def _on_vm_list(self, event: VmListChanged) -> None:
         for change in self._upstreams.collect():
             self._write('upstream', event.now_ms, **change)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
@@ -1,5 +1,7 @@
 """Exchanges published items with peers over TCP."""
 
+from functools import partial
+
 from figdoor_decisions.published import PublishedItems, StoreReadingPlan
 from figdoor_gateway.peers._addresses import Addresses
 from figdoor_gateway.peers._client import PeerClient
@@ -13,7 +15,7 @@
     encode_items_request,
 )
 from figdoor_gateway.peers._sync_server import PeerServer
-from figdoor_kernel import Extension, ItemsBehind, ItemsRead, Node
+from figdoor_kernel import Extension, ItemsBehind, ItemsRead, Node, NodeId
 
 
 class ItemsClient(PeerClient):
@@ -46,10 +48,10 @@
             self.request(
                 address,
                 encode_items_request(request),
-                self._on_answer,
+                partial(self._on_answer, event.peer),
             )
 
-    def _on_answer(self, frame: bytes) -> None:
+    def _on_answer(self, peer: NodeId, frame: bytes) -> None:
         answer = decode_items_answer(frame)
         self.counters.count(RECEIVED, ItemsAnswer.__name__, len(frame))
         now_ms = self._node.clock.now_ms()
@@ -59,9 +61,10 @@
             answer.is_whole,
             from_store=False,
             now_ms=now_ms,
+            peer=peer,
         )
         self._node.events.publish(items_read)
-        self._items.confirm(answer.as_of, now_ms - answer.age_ms)
+        self._items.confirm(answer.as_of, answer.age_ms, peer, now_ms)
         self._plan.record_peer_items()
 
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -105,6 +105,7 @@
 from figdoor_kernel._peer_events import (
     AddressSendRequested,
     BroadcastRequested,
+    ItemsAdvanced,
     ItemsBehind,
     ItemsChanged,
     ItemsRead,
@@ -128,7 +129,7 @@
     Router,
     Service,
 )
-from figdoor_kernel._published import PublishedItem
+from figdoor_kernel._published import ItemsSource, PublishedItem
 from figdoor_kernel._registry import (
     PLUGIN_GROUP,
     Deployment,
@@ -182,6 +183,7 @@
     'HedgeRule',
     'DependencyChanged',
     'AddressSendRequested',
+    'ItemsAdvanced',
     'ItemsBehind',
     'MembersChanged',
     'Digest',
@@ -191,6 +193,7 @@
     'UpstreamsRead',
     'ItemsChanged',
     'ItemsRead',
+    'ItemsSource',
     'PublishedItem',
     'Splitter',
     'CallerLimits',
--- a/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
@@ -5,7 +5,7 @@
 
 from figdoor_kernel._ids import NodeId, Revision
 from figdoor_kernel._messages import PeerMessage, Update
-from figdoor_kernel._published import PublishedItem
+from figdoor_kernel._published import ItemsSource, PublishedItem
 from figdoor_kernel._serialized_names import SERIALIZED_NAME
 from figdoor_kernel._vms import Vm
 
@@ -90,7 +90,8 @@
 
     They include every change up to revision ``as_of``. If ``is_whole`` is
     true, ``items`` are all items that exist; otherwise they are those that
-    changed after the last revision that this node had.
+    changed after the last revision that this node had. ``peer`` is empty for
+    items from the store.
     """
 
     items: tuple[PublishedItem, ...]
@@ -98,6 +99,23 @@
     is_whole: bool
     from_store: bool
     now_ms: float
+    peer: NodeId = NodeId('')
+
+
+@dataclass(frozen=True, slots=True)
+class ItemsAdvanced:
+    """This node's items became complete up to a higher revision.
+
+    ``changed`` counts the items that changed with it. ``peer`` is empty if the
+    items came from the store.
+    """
+
+    before: Revision
+    as_of: Revision
+    source: ItemsSource
+    peer: NodeId
+    changed: int
+    now_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/figdoor-kernel/src/figdoor_kernel/_published.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_published.py
@@ -1,6 +1,7 @@
 """Items that the platform publishes under keys, not yet decoded."""
 
 from dataclasses import dataclass
+from enum import Enum, unique
 
 from figdoor_kernel._ids import Revision
 
@@ -15,3 +16,16 @@
     key: str
     revision: Revision
     content: bytes | None
+
+
+@unique
+class ItemsSource(Enum):
+    """Where a node learned that its items are complete up to a revision.
+
+    ``CONFIRMATION`` means that a peer has the same items, so that none came
+    with it.
+    """
+
+    STORE = 'store'
+    PEER = 'peer'
+    CONFIRMATION = 'confirmation'
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -161,7 +161,7 @@
         rig = Rig(seeds=('10.0.0.1:9',))
         plan = rig.part('store-reading')
         plan.record_success(0)
-        rig.items.confirm(5, 1000)
+        rig.items.confirm(5, 0, 'n1', 1000)
         assert (plan.next_read(1000 + age_ms) is not None) is reads
 
     @pytest.mark.parametrize(
--- a/tests/gateway/test_decision_log.py
+++ b/tests/gateway/test_decision_log.py
@@ -4,7 +4,7 @@
 from store_fleet import StoreNode, worker
 
 from figdoor_gateway import decision_log
-from figdoor_kernel import Finish, Wait
+from figdoor_kernel import Extension, Finish, ItemsRead, PublishedItem, Wait
 
 
 @pytest.fixture
@@ -54,3 +54,23 @@
         assert 'unplaced' not in line
         assert line['attempts'][0]['upstream'] == 'a'
         assert line['attempts'][0]['load'] == '0+0/6 x1'
+
+
+class TestItems:
+    """Guards against logs that do not say where a node's items came from."""
+
+    def test_each_advance_names_its_source_and_its_revisions(self, rig):
+        item = PublishedItem('servers/a', 7, b'x')
+        events = rig.node.events
+        events.publish(ItemsRead((item,), 8, True, True, 0))
+        items = rig.node.part(Extension.SERVICE, 'published-items')
+        items.confirm(9, 0, 'n2', 0)
+        items.confirm(9, 0, 'n3', 0)
+        events.publish(ItemsRead((), 10, False, False, 0, 'n4'))
+        lines = [line for line in rig.lines if line['event'] == 'items']
+        keys = ('before', 'as_of', 'source', 'peer', 'changed')
+        assert [[line[key] for key in keys] for line in lines] == [
+            [0, 8, 'store', '', 1],
+            [8, 9, 'confirmation', 'n2', 0],
+            [9, 10, 'peer', 'n4', 0],
+        ]
