Keep peers from skipping removals that a whole read does not name

Cause: a whole read names what exists, and no removals. A node counted only the items in it as changes, so its digest claimed that nothing had changed up to its revision, and peers one removal behind took the revision over without any items. In the same way, its answer to a peer that asked for changes left out the removals that it had never seen.

Change: a whole read counts as a change up to its own revision. A node remembers the revisions between which it may not know all removals, and answers peers in that range with all items. Why this works: the claim "no change after newest" is now true by what the node can know, and a peer that is behind newest asks for items instead of taking over the revision.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -21,6 +21,8 @@
 MAX_REMOVED = 1024
 # A node that has not read the store for this time confirms nothing to others.
 STORE_TIMEOUT_MS = 1000.0
+# The store counts revisions from 1.
+NO_REVISION = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +37,14 @@
     is_whole: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Gap:
+    """Revisions, both excluded, of which a node may not know all removals."""
+
+    begin: Revision
+    end: Revision
+
+
 class PublishedItems(Service):
     """Merges items from the store and from peers; the highest revision wins.
 
@@ -48,10 +58,11 @@
         self._items: dict[str, PublishedItem] = {}
         self._removed: dict[str, PublishedItem] = {}
         # Removed items up to this revision may no longer be kept.
-        self._discarded_revision = Revision(0)
-        self.as_of = Revision(0)
-        # The highest revision of any item seen.
-        self.newest_revision = Revision(0)
+        self._discarded_revision = NO_REVISION
+        self._gap = _Gap(NO_REVISION, NO_REVISION)
+        self.as_of = NO_REVISION
+        # No item changed between this revision and ``as_of``.
+        self.newest_revision = NO_REVISION
         self._store_read_ms = float('-inf')
         self._confirmed_ms = float('-inf')
         node.events.subscribe(ItemsRead, self._on_read)
@@ -63,7 +74,8 @@
 
     def changes_after(self, revision: Revision) -> ItemChanges:
         """Return the items that a reader at this revision lacks."""
-        if revision < self._discarded_revision or not revision:
+        is_unknown = self._gap.begin < revision < self._gap.end
+        if revision < self._discarded_revision or is_unknown or not revision:
             return ItemChanges(tuple(self._items.values()), self.as_of, True)
         newer = [
             item
@@ -98,6 +110,7 @@
         changed = [item for item in event.items if self._merge(item)]
         if event.is_whole:
             changed.extend(self._remove_missing(event))
+            self._record_whole(event.as_of)
         for item in event.items:
             self.newest_revision = max(self.newest_revision, item.revision)
         source = ItemsSource.STORE if event.from_store else ItemsSource.PEER
@@ -145,6 +158,20 @@
         ]
         return [item for item in missing if self._merge(item)]
 
+    def _record_whole(self, as_of: Revision) -> None:
+        """Record that removals up to a whole read may be unknown.
+
+        The read lacks items that were added and removed since the previous
+        revision of this node, and it does not say when any item was removed.
+        A peer with a revision in between may still have such an item.
+        """
+        self.newest_revision = max(self.newest_revision, as_of)
+        if as_of > self.as_of:
+            self._discarded_revision = max(
+                self._discarded_revision, self._gap.end
+            )
+            self._gap = _Gap(self.as_of, as_of)
+
     def _record_removed(self, item: PublishedItem) -> None:
         self._removed.pop(item.key, None)
         self._removed[item.key] = item
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -1,96 +1,11 @@
 """Members, reader roles and the relay of items among several nodes."""
 
-from collections import Counter
-
 import pytest
-from support import ManualClock, Recorder, store_node
+from gossip_fleet import Fleet
+from support import Recorder, store_node
 
 from figdoor_decisions.gossip import fleet_size
-from figdoor_kernel import (
-    AddressSendRequested,
-    Extension,
-    ItemsBehind,
-    ItemsRead,
-    PeerMessageReceived,
-    PeerSendRequested,
-    PublishedItem,
-    Tick,
-)
-
-STEP_MS = 50
-
-
-class Fleet:
-    """Nodes whose datagrams arrive at once, unless a node is cut off."""
-
-    def __init__(self, size, zones=1):
-        self.clock = ManualClock()
-        self.nodes = {}
-        self.cut = set()
-        self.size = size
-        self.zones = zones
-        self.sent = Counter()
-        for number in range(size):
-            self.start(number)
-
-    def start(self, number):
-        name = f'n{number}'
-        node = store_node(
-            name,
-            self.clock,
-            zone=f'z{number % self.zones}',
-            seed=number,
-            fleet_nodes=1,
-            seeds=('10.0.0.0:9', '10.0.0.1:9'),
-            peer_address=f'10.0.0.{number}:9',
-        )
-        node.events.subscribe(
-            PeerSendRequested,
-            lambda event: self.deliver(name, event.target, event.message),
-        )
-        node.events.subscribe(
-            AddressSendRequested,
-            lambda event: self.deliver(
-                name, f'n{event.address[7:-2]}', event.message
-            ),
-        )
-        self.nodes[name] = node
-        node.part(Extension.SERVICE, 'members').start()
-
-    def deliver(self, sender, target, message):
-        self.sent[sender] += 1
-        if {sender, target} & self.cut or target not in self.nodes:
-            return
-        now_ms = self.clock.now_ms()
-        self.nodes[target].events.publish(
-            PeerMessageReceived(sender, message, now_ms)
-        )
-
-    def run(self, duration_ms):
-        for _ in range(0, duration_ms, STEP_MS):
-            self.clock.advance_ms(STEP_MS)
-            for node in tuple(self.nodes.values()):
-                node.events.publish(Tick(self.clock.now_ms()))
-
-    def listed_by(self, name):
-        """Return the ids of all members that a node lists."""
-        return {vm.vm_id for vm in self.nodes[name].fleet.nodes()}
-
-    def part(self, name, part):
-        return self.nodes[name].part(Extension.SERVICE, part)
-
-    def readers(self):
-        return {
-            name
-            for name in self.nodes
-            if self.part(name, 'store-readers').is_reader
-        }
-
-    def read(self, name, *items, as_of):
-        now_ms = self.clock.now_ms()
-        self.nodes[name].events.publish(
-            ItemsRead(items, as_of, False, True, now_ms)
-        )
+from figdoor_kernel import Extension, ItemsBehind, ItemsRead, PublishedItem
 
 
 @pytest.fixture(scope='module')
@@ -222,6 +137,41 @@
         assert items.age_ms(fleet.clock.now_ms()) >= 2000
 
 
+class TestRestarts:
+    """Guards against removals that a restarted node does not know of."""
+
+    def fleet(self):
+        fleet = Fleet(3)
+        fleet.run(10_000)
+        for name in fleet.nodes:
+            fleet.read(name, PublishedItem('a', 5, b'x'), as_of=5)
+            fleet.part(name, 'store-reading').record_success(0)
+        return fleet
+
+    def restart(self, fleet):
+        """Restart n0 while an item is removed, before the others learn it."""
+        fleet.start(0)
+        fleet.read('n0', as_of=6, is_whole=True)
+
+    def test_removal_is_not_skipped_after_the_digest_of_a_restarted_node(self):
+        """Guards against a removed worker that others keep until it exits."""
+        fleet = self.fleet()
+        behind = Recorder(fleet.nodes['n1'], ItemsBehind)
+        self.restart(fleet)
+        fleet.run(5000)
+        items = fleet.part('n1', 'published-items')
+        assert (items.as_of, set(items.items)) == (5, {'a'})
+        assert behind.events[-1].peer == 'n0'
+
+    def test_removal_reaches_a_node_that_asks_a_restarted_node(self):
+        """Guards against an answer that leaves out an unknown removal."""
+        fleet = self.fleet()
+        self.restart(fleet)
+        fleet.fetch('n1', 'n0')
+        items = fleet.part('n1', 'published-items')
+        assert (items.as_of, set(items.items)) == (6, set())
+
+
 class TestZones:
     """News reach every node, with few messages from any one of them."""
 
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -81,6 +81,29 @@
         assert not changes.is_whole
         assert changes.items == (item('a', 7, None),)
 
+    @pytest.mark.parametrize(
+        ('revision', 'is_whole'), [(6, False), (7, True), (9, False)]
+    )
+    def test_changes_are_whole_where_removals_may_be_unknown(
+        self, revision, is_whole
+    ):
+        """Guards against a removed worker that an answer leaves in use."""
+        rig = Rig()
+        rig.read(item('a', 5), item('b', 6))
+        rig.read(item('b', 6), as_of=9, is_whole=True)
+        changes = rig.items.changes_after(revision)
+        assert changes.is_whole is is_whole
+        if revision == 6:
+            assert [entry.key for entry in changes.items] == ['a']
+
+    def test_whole_read_says_that_items_may_have_changed_up_to_it(self):
+        """Guards against digests that claim no change where one may be."""
+        rig = Rig()
+        rig.read(item('b', 6), as_of=9, is_whole=True)
+        assert rig.items.newest_revision == 9
+        rig.read(as_of=12)
+        assert rig.items.newest_revision == 9
+
     @given(
         st.lists(
             st.tuples(st.sampled_from('abc'), st.integers(1, 30), st.booleans())
