Take the time limit of a stop from the deployment

Where the platform gives a stopping process 10 s, as on the large deployment, requests in progress are cut after 5.6 s. Where it gives less than 5.6 s, it kills them.

Evidence: the tests below, and the template: the flag file of a node of the large deployment is the same as that of a small one.

If it is set, requests are aborted 400 ms before that time, 5.6 s as before where the limit is 6 s. The grace period takes at most half of a limited stop.

--- a/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
@@ -5,6 +5,8 @@
 from figdoor_kernel import Node, Service
 
 STOP_MARGIN_MS = 1000
+# The rest of a limited stop is left for running requests to finish.
+MAX_GRACE_SHARE = 0.5
 DEADLINE_WITHOUT_TABLES_MS = 30_000
 
 
@@ -45,6 +47,9 @@
         """Begin the stop; a second call has no effect."""
         if self._begun_ms is None:
             self._begun_ms = now_ms
+            limit_ms = self._node.options.stop_limit_ms
+            if limit_ms:
+                grace_ms = min(grace_ms, MAX_GRACE_SHARE * limit_ms)
             self.grace_end_ms = now_ms + grace_ms
             self.abort_at_ms = self._latest_end_ms(now_ms)
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/application.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/application.py
@@ -14,6 +14,9 @@
 )
 from figdoor_traces import SEED_BITS, TraceRandom
 
+# Time for a node to abort its requests, log them and exit.
+EXIT_TIME_MS = 400.0
+
 
 def build_node(settings: Settings, registry: Registry) -> Node:
     """Return a node whose parts are built but not started."""
@@ -48,12 +51,19 @@
         probes_per_s=settings.probes_per_s,
         quarantine_deaths=int(settings.quarantine_deaths),
         retry_failed_answers=settings.retry_failed_answers,
-        stop_limit_ms=settings.stop_limit_ms,
+        stop_limit_ms=_stop_limit_ms(settings),
         seeds=tuple(map(str, settings.seeds)),
         peer_address=str(settings.peer_listen),
     )
 
 
+def _stop_limit_ms(settings: Settings) -> float:
+    """Return how long a stop may take, so that it ends before a kill."""
+    if not settings.kill_after_ms:
+        return settings.stop_limit_ms
+    return max(1, settings.kill_after_ms - EXIT_TIME_MS)
+
+
 def _make_random(settings: Settings) -> Random:
     """Return random numbers, repeatable by a replay if a trace is recorded."""
     random = SystemRandom()
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_options.py
@@ -14,6 +14,8 @@
 
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 MAX_PORT = 65_535
+_MS_BY_UNIT = {'ms': 1, 's': 1000}
+_DURATION = re.compile(r'(?P<number>[\d.]+)(?P<unit>ms|s)?')
 _NAME = re.compile('[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}')
 
 
@@ -116,6 +118,26 @@
         return Failure(f'{text} is not within {self.lowest}..{self.highest}')
 
 
+@dataclass(frozen=True, slots=True)
+class DurationReader:
+    """Reads ``10s``, ``2500ms`` or a number of milliseconds.
+
+    An empty text, with which a deployment leaves the time open, is 0.
+    """
+
+    lowest: float
+    highest: float
+
+    def __call__(self, text: str) -> Result[float, str]:
+        """Return the milliseconds, or a message that says what is wrong."""
+        match = _DURATION.fullmatch(text or '0')
+        if match is None:
+            return Failure(f'{text!r} is not a time such as 10s or 2500ms')
+        factor = _MS_BY_UNIT[match['unit'] or 'ms']
+        in_range = NumberReader(self.lowest / factor, self.highest / factor)
+        return in_range(match['number']).map(lambda number: number * factor)
+
+
 @dataclass(frozen=True, slots=True)
 class ChoiceReader:
     """Reads one of ``choices``."""
@@ -192,6 +214,14 @@
         'time from the stop signal until open requests are aborted; 0 for '
         'the longest deadline',
     ),
+    Option(
+        'kill_after_ms',
+        '0',
+        DurationReader(0, 3_600_000),
+        'time from the stop signal until the platform kills the process, as '
+        '10s or 2500ms; requests are aborted 400 ms before that instead of '
+        'after stop_limit_ms; 0 if it is not known',
+    ),
     Option(
         'fleet_nodes',
         '32',
--- a/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/settings/_settings.py
@@ -27,6 +27,7 @@
     deployment: str
     kept_connection_ms: float
     stop_limit_ms: float
+    kill_after_ms: float
     fleet_nodes: float
     retry_budget_percent: float
     retry_budget_burst: float
--- a/tests/decisions/stopping/test_plan.py
+++ b/tests/decisions/stopping/test_plan.py
@@ -25,6 +25,15 @@
         assert self.plan.phase(1, 300 + longest_ms) is StopPhase.FINISHING
         assert self.plan.phase(1, 300 + longest_ms * 3) is StopPhase.ABORTING
 
+    def test_half_of_a_short_stop_is_left_to_finish_requests(self):
+        """Guards against a stop that accepts requests until it aborts them."""
+        node = make_node(stop_limit_ms=400)
+        plan = node.part(Extension.SERVICE, 'stop-plan')
+        plan.begin(300, 0)
+        assert plan.phase(1, 199) is StopPhase.GRACE
+        assert plan.phase(1, 200) is StopPhase.FINISHING
+        assert plan.phase(1, 400) is StopPhase.ABORTING
+
     def test_idle_node_is_done_only_after_the_grace_period(self):
         self.plan.begin(300, 0)
         assert self.plan.phase(0, 299) is StopPhase.GRACE
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -1,5 +1,8 @@
 """Settings: sources, precedence and findings."""
 
+import pytest
+
+from figdoor_gateway.application import make_options
 from figdoor_gateway.settings import (
     OPTIONS,
     Address,
@@ -52,6 +55,29 @@
             'FIGDOOR_MAX_BODY_BYTES',
         ]
 
+    @pytest.mark.parametrize(
+        ('text', 'limit_ms'),
+        [('10s', 9600), ('2500ms', 2100), ('6000', 5600), ('', 1234)],
+    )
+    def test_stop_ends_before_the_platform_kills_the_process(
+        self, text, limit_ms
+    ):
+        """Guards against requests cut early, or by the kill itself.
+
+        A platform that gives more time than ``stop_limit_ms`` assumes lets
+        requests finish; one that gives less would kill the process first.
+        """
+        environment = {'FIGDOOR_KILL_AFTER_MS': text}
+        settings = read('--stop_limit_ms=1234', **environment).unwrap()
+        assert make_options(settings).stop_limit_ms == limit_ms
+
+    @pytest.mark.parametrize(
+        'text', ['6m', 's', '-1s', '2h', 'nan', '9999999s']
+    )
+    def test_time_before_the_kill_that_cannot_be_read_is_a_finding(self, text):
+        (finding,) = read(f'--kill_after_ms={text}').failure()
+        assert str(finding.place) == '--kill_after_ms'
+
     def test_unknown_flag_is_reported_as_a_finding(self):
         findings = read('--colour=red').failure()
         assert 'colour' in str(findings[0])
