--- a/tests/gateway/upstreams/test_platform_answers.py
+++ b/tests/gateway/upstreams/test_platform_answers.py
@@ -14,6 +14,7 @@
 STRAY = COMPLETE.replace(b'Request-Id: 1', b'Request-Id: 0').replace(
     b'ab', b'zz'
 )
+REFUSED_STATUSES = (400, 421, 429, 503)
 
 
 class Rig:
@@ -44,6 +45,38 @@
         assert rig.receiver.body == b'ab'
         assert rig.receiver.ends == ['complete']
 
+    @pytest.mark.parametrize('status', REFUSED_STATUSES)
+    @pytest.mark.parametrize('request_id', [b'', b'Request-Id: 0\r\n'])
+    def test_repeated_refusal_is_no_proof_that_this_request_has_not_run(
+        self, status, request_id
+    ):
+        """Guards against a caller that repeats an order which is running.
+
+        A worker may write an earlier refusal once more, with the id of that
+        request, or without one if it was the refusal of a health check.
+        """
+        rig = Rig()
+        rig.connection.dataReceived(
+            b'HTTP/1.1 %d No\r\n%bNot-Executed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n' % (status, request_id)
+        )
+        assert not rig.receiver.heads
+        assert not rig.receiver.ends
+        rig.connection.dataReceived(COMPLETE)
+        (head,) = rig.receiver.heads
+        assert (head.status, head.shed) == (200, False)
+        assert rig.receiver.ends == ['complete']
+
+    @pytest.mark.parametrize('status', REFUSED_STATUSES)
+    def test_refusal_of_this_request_is_taken(self, status):
+        rig = Rig()
+        rig.connection.dataReceived(
+            b'HTTP/1.1 %d No\r\nRequest-Id: 1\r\nNot-Executed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n' % status
+        )
+        (head,) = rig.receiver.heads
+        assert head.shed
+
     def test_second_response_closes_connection(self):
         rig = Rig()
         rig.connection.dataReceived(COMPLETE + COMPLETE)
@@ -51,6 +84,23 @@
         assert not rig.released
 
 
+class TestTruncatedHead:
+    """Guards against a head that breaks off and looks like a response."""
+
+    @pytest.mark.parametrize(
+        'head',
+        [COMPLETE[:-2], HEAD + b'\r\n', HEAD + b'Content-Length: 0\r\n\r\n'],
+    )
+    @pytest.mark.parametrize('reason', [ConnectionDone(), ConnectionLost()])
+    def test_head_cut_at_any_byte_is_lost(self, head, reason):
+        for size in range(len(head)):
+            rig = Rig()
+            rig.connection.dataReceived(head[:size])
+            rig.connection.connectionLost(Failure(reason))
+            assert not rig.receiver.heads
+            assert rig.receiver.ends == ['died']
+
+
 class TestCloseDelimitedBody:
     @pytest.mark.parametrize(
         ('reason', 'end'),
--- a/tests/platform_adapter/test_dialect.py
+++ b/tests/platform_adapter/test_dialect.py
@@ -29,7 +29,17 @@
         assert kind(status, headers) is ResponseKind.SHED
 
     def test_misdirected_request_means_shed(self):
-        assert kind(421, {b'instance-id': b'i-2'}) is ResponseKind.SHED
+        headers = {b'instance-id': b'i-2', b'request-id': b'9c41'}
+        assert kind(421, headers) is ResponseKind.SHED
+
+    @pytest.mark.parametrize('status', [200, 400, 421, 429, 500, 503])
+    def test_response_without_the_id_is_stray(self, status):
+        """Guards against a repeated answer to a health check.
+
+        It has no id, as the health check had none.
+        """
+        headers = {b'not-executed': b'1', b'server-signature': b'3e1b'}
+        assert kind(status, headers) is ResponseKind.STRAY
 
     @pytest.mark.parametrize('status', [503, 429, 408])
     def test_not_run_status_without_the_header_is_invalid(self, status):
