Record the beginning of a stop in traces

Cause: refusals of a stopping node follow from the time at which its stop began, which was passed to the stop plan by a call. A trace contains events only, so a recording of a stop with such a refusal could not be replayed.

Change: the lifecycle publishes StopBegun, and the stop plan subscribes to it and to TablesAccepted, from which it prolongs an unlimited stop during the grace period, as it did on each tick before. ItemsAdvanced follows from other events, so it is not recorded.

--- a/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/stopping/_plan.py
@@ -2,7 +2,12 @@
 
 from enum import Enum, unique
 
-from figdoor_kernel import Node, Service
+from figdoor_kernel import (
+    Node,
+    Service,
+    StopBegun,
+    TablesAccepted,
+)
 
 STOP_MARGIN_MS = 1000
 # The rest of a limited stop is left for running requests to finish.
@@ -32,34 +37,24 @@
     """
 
     def __init__(self, node: Node) -> None:
-        """Start in the phase ``running``."""
+        """Start in the phase ``running``; subscribe to the stop and tables."""
         self._node = node
         self._begun_ms: float | None = None
         self.grace_end_ms: float = 0
         self.abort_at_ms: float = 0
+        node.events.subscribe(StopBegun, self._on_begun)
+        node.events.subscribe(TablesAccepted, self._on_tables)
 
     @property
     def has_begun(self) -> bool:
         """Whether the stop has begun."""
         return self._begun_ms is not None
 
-    def begin(self, grace_ms: float, now_ms: float) -> None:
-        """Begin the stop; a second call has no effect."""
-        if self._begun_ms is None:
-            self._begun_ms = now_ms
-            limit_ms = self._node.options.stop_limit_ms
-            if limit_ms:
-                grace_ms = min(grace_ms, MAX_GRACE_SHARE * limit_ms)
-            self.grace_end_ms = now_ms + grace_ms
-            self.abort_at_ms = self._latest_end_ms(now_ms)
-
     def phase(self, in_progress: int, now_ms: float) -> StopPhase:
         """Return the phase, given the number of requests in progress."""
         if self._begun_ms is None:
             return StopPhase.RUNNING
         if now_ms < self.grace_end_ms:
-            # Tables accepted in the meantime may have a longer deadline.
-            self.abort_at_ms = self._latest_end_ms(self._begun_ms)
             return StopPhase.GRACE
         if not in_progress:
             return StopPhase.DONE
@@ -67,11 +62,31 @@
             return StopPhase.FINISHING
         return StopPhase.ABORTING
 
-    def _latest_end_ms(self, begun_ms: float) -> float:
-        limit_ms = self._node.options.stop_limit_ms
-        if limit_ms:
-            return begun_ms + limit_ms
-        return self.grace_end_ms + self._longest_deadline_ms()
+    @property
+    def _limit_ms(self) -> float:
+        return self._node.options.stop_limit_ms
+
+    def _on_begun(self, event: StopBegun) -> None:
+        if self._begun_ms is not None:
+            return
+        self._begun_ms = event.now_ms
+        grace_ms = event.grace_ms
+        if self._limit_ms:
+            grace_ms = min(grace_ms, MAX_GRACE_SHARE * self._limit_ms)
+            self.abort_at_ms = event.now_ms + self._limit_ms
+        self.grace_end_ms = event.now_ms + grace_ms
+        self._allow_longest_deadline()
+
+    def _on_tables(self, event: TablesAccepted) -> None:
+        """Allow for longer deadlines of tables accepted in the grace period."""
+        if self._begun_ms is not None and event.now_ms < self.grace_end_ms:
+            self._allow_longest_deadline()
+
+    def _allow_longest_deadline(self) -> None:
+        """Abort after the longest deadline, unless the stop is limited."""
+        if not self._limit_ms:
+            longest_ms = self._longest_deadline_ms()
+            self.abort_at_ms = self.grace_end_ms + longest_ms
 
     def _longest_deadline_ms(self) -> float:
         tables = self._node.tables
--- a/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/lifecycle/_lifecycle.py
@@ -9,7 +9,14 @@
 from figdoor_decisions.stopping import StopPhase, StopPlan
 from figdoor_gateway.loop import MS_PER_SECOND, reactor
 from figdoor_gateway.protocols import FrontEnd
-from figdoor_kernel import Extension, Node, NodeState, Service, Tick
+from figdoor_kernel import (
+    Extension,
+    Node,
+    NodeState,
+    Service,
+    StopBegun,
+    Tick,
+)
 
 TICK_MS = 50
 
@@ -50,7 +57,8 @@
         readiness = self._node.part(Extension.SERVICE, 'readiness')
         readiness.change_state(NodeState.STOPPING, now_ms)
         self._front_end().drain()
-        self._stop_plan.begin(self._node.settings.stop_grace_ms, now_ms)
+        grace_ms = self._node.settings.stop_grace_ms
+        self._node.events.publish(StopBegun(grace_ms, now_ms))
         logger.info('stopping: unready, still accepting requests')
 
     def _tick(self) -> None:
--- a/packages/figdoor-kernel/src/figdoor_kernel/_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_events.py
@@ -290,6 +290,14 @@
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class StopBegun:
+    """The node was told to stop; it accepts requests for the grace period."""
+
+    grace_ms: float
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class DependencyChanged:
     """A dependency of the node became unavailable or available again."""
--- a/packages/figdoor-traces/src/figdoor_traces/_seeding.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_seeding.py
@@ -12,6 +12,7 @@
 from figdoor_kernel import (
     BroadcastRequested,
     CallClosed,
+    ItemsAdvanced,
     PeerSendRequested,
     ProbeRequested,
     RevisionBehind,
@@ -28,6 +29,7 @@
 _DERIVED = (
     UpdateReceived,
     BroadcastRequested,
+    ItemsAdvanced,
     PeerSendRequested,
     ProbeRequested,
     RevisionBehind,
--- a/tests/decisions/stopping/test_admission.py
+++ b/tests/decisions/stopping/test_admission.py
@@ -8,11 +8,11 @@
 from figdoor_kernel import (
     AttemptResult,
     AttemptState,
-    Extension,
     Finish,
     Outcome,
     Refusal,
     Send,
+    StopBegun,
     Wait,
 )
 
@@ -36,8 +36,7 @@
         self.set_load('b')
 
     def stop(self):
-        plan = self.node.part(Extension.SERVICE, 'stop-plan')
-        plan.begin(GRACE_MS, self.now_ms)
+        self.node.events.publish(StopBegun(GRACE_MS, self.now_ms))
 
     def open_at(self, now_ms, time_left_ms=10_000):
         self.advance_to(now_ms)
--- a/tests/fuzz/simulation.py
+++ b/tests/fuzz/simulation.py
@@ -21,6 +21,7 @@
     Extension,
     ProbeRequested,
     ReportSeen,
+    StopBegun,
     TablesAccepted,
     TablesOffered,
     Tick,
@@ -206,7 +207,7 @@
         plan = node.part(Extension.SERVICE, 'stop-plan')
         if name in self.network.paused or plan.has_begun:
             return
-        plan.begin(STOP_GRACE_MS, self.clock.now_ms())
+        node.events.publish(StopBegun(STOP_GRACE_MS, self.clock.now_ms()))
         node.events.subscribe(Tick, partial(self.continue_stop, node, plan))
 
     def continue_stop(self, node, plan, tick):
