Answer requests that were not sent when a stop ends

A request that waits for upstreams that have asked for a pause, or for its connection, when a stop reaches its time limit, is reset without an answer, although it has not run.

Cause: the abort at the end of a stop resets every connection with a request in progress, whether or not a byte of that request was sent.

Evidence: the two new tests of test_connection.py; before the change the caller gets no bytes at all.

Change: the abort asks the call for its outcome first. A call that was not sent is answered as not run, with a time after which to retry; only the others are reset. Why this works: the exchange knows for each attempt whether its first byte was confirmed, and reports "not run" only if none was.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_proxying.py
@@ -71,6 +71,25 @@
             self._finish()
             self._abandon_attempts()
 
+    def abort(self) -> None:
+        """End the call, because the node exits; answer it if it has not run.
+
+        An attempt that waits for its connection has not been sent.
+        """
+        if not self._attempts:
+            self._advance()
+        if self._is_finished:
+            return
+        self._abandon_attempts()
+        step = self._next_step()
+        is_not_run = (
+            isinstance(step, Finish) and step.outcome is Outcome.NOT_RUN
+        )
+        if is_not_run and not self._caller_response.has_begun:
+            self._advance()
+        else:
+            self._truncate_response()
+
     def reject_body(self, error: BadRequestError) -> None:
         """Cancel the call, because its body is malformed or too large."""
         if self._is_finished or self._request.body_complete:
--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_server.py
@@ -112,10 +112,17 @@
         self._close_timer.start(CLOSE_INTERVAL_S)
 
     def abort(self) -> None:
-        """Abort all connections, with the requests in progress on them."""
+        """End all connections, with the requests in progress on them.
+
+        A request that was not sent to an upstream yet is refused as not run;
+        the other connections are reset.
+        """
         logger.error('aborting {} requests in progress', self.busy_count)
         for connection in tuple(self._connections):
-            connection.abort()
+            if connection.call is None:
+                connection.abort()
+            else:
+                connection.call.abort()
 
     def add(self, connection: CallerConnection) -> None:
         """Add an open connection."""
--- a/tests/gateway/frontend/test_connection.py
+++ b/tests/gateway/frontend/test_connection.py
@@ -4,9 +4,14 @@
 that occupy connections or memory without limit.
 """
 
+from dataclasses import replace
+
 import pytest
 from wires import GET, HEAD
 
+from figdoor_kernel import StopBegun, Wait
+from figdoor_kernel._selection import UpstreamSelection
+
 POST = b'POST /x HTTP/1.1\r\nHost: any.example\r\n'
 EXPECT = b'Expect: 100-continue\r\n'
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -210,3 +215,34 @@
         rig.front_end.abort()
         assert wire.aborted
         assert rig.attempts[0].cancelled
+
+    def test_abort_answers_a_request_that_was_not_sent(self, rig):
+        """Guards against a request cut without an answer that says not run.
+
+        Its connection to the upstream is still being opened.
+        """
+        rig.upstreams.auto_confirm = False
+        _, wire = rig.request()
+        rig.front_end.close(lambda: None)
+        rig.front_end.abort()
+        assert wire.value().startswith(b'HTTP/1.1 503')
+        assert b'figdoor-outcome: not-run' in wire.value()
+        assert not wire.aborted
+        assert rig.attempts[0].cancelled
+
+    def test_abort_answers_a_request_that_waits(self, rig, monkeypatch):
+        """Guards against a waiting request that is cut without an answer."""
+        with monkeypatch.context() as patches:
+            patches.setattr(
+                UpstreamSelection, 'select', lambda *_: Wait(60_000)
+            )
+            _, wire = rig.request()
+        assert not rig.attempts
+        rig.node.options = replace(rig.node.options, stop_limit_ms=100)
+        rig.node.events.publish(StopBegun(0, rig.clock.now_ms()))
+        rig.front_end.close(lambda: None)
+        rig.clock.advance_ms(100)
+        rig.front_end.abort()
+        assert wire.value().startswith(b'HTTP/1.1 503')
+        assert b'figdoor-reason: stopping' in wire.value()
+        assert not wire.aborted
