Answer peers with the existing keys instead of all items

Cause: since a node that may not know every removal answers a peer with all items. Where a fleet starts while upstreams register, that is most answers of nodes that have just read the store, some 80 KB each with 330 upstreams, and much of it crosses availability zones.

Change: such an answer has the changed items and the keys of all items that exist (a new field of ItemsAnswer, which older nodes ignore). The peer drops what is not among the keys. One revision up to which removals may be unknown replaces the gap between two.

No node keeps a removed upstream too long in test_rolling_restarts.py with 6 to 312 nodes.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -29,20 +29,15 @@
 class ItemChanges:
     """Items that a peer lacks; they are complete up to ``as_of``.
 
-    With ``is_whole`` they are all items that exist.
+    With ``is_whole`` they are all items that exist. Otherwise, if there are
+    ``existing_keys``, these are the keys of all items that exist, since
+    ``items`` may lack removals.
     """
 
     items: tuple[PublishedItem, ...]
     as_of: Revision
     is_whole: bool
-
-
-@dataclass(frozen=True, slots=True)
-class _Gap:
-    """Revisions, both excluded, of which a node may not know all removals."""
-
-    begin: Revision
-    end: Revision
+    existing_keys: frozenset[str] = frozenset()
 
 
 class PublishedItems(Service):
@@ -57,9 +52,8 @@
         self._node = node
         self._items: dict[str, PublishedItem] = {}
         self._removed: dict[str, PublishedItem] = {}
-        # Removed items up to this revision may no longer be kept.
+        # Not all items that were removed up to this revision may be kept.
         self._discarded_revision = NO_REVISION
-        self._gap = _Gap(NO_REVISION, NO_REVISION)
         self.as_of = NO_REVISION
         # No item changed between this revision and ``as_of``.
         self.newest_revision = NO_REVISION
@@ -74,16 +68,19 @@
 
     def changes_after(self, revision: Revision) -> ItemChanges:
         """Return the items that a reader at this revision lacks."""
-        is_unknown = self._gap.begin < revision < self._gap.end
-        if revision < self._discarded_revision or is_unknown or not revision:
+        if not revision or not self._items:
             return ItemChanges(tuple(self._items.values()), self.as_of, True)
-        newer = [
+        newer = tuple(
             item
             for collection in (self._items, self._removed)
             for item in collection.values()
             if item.revision > revision
-        ]
-        return ItemChanges(tuple(newer), self.as_of, False)
+        )
+        if revision < self._discarded_revision:
+            # The keys are a small part of the size of all items.
+            keys = frozenset(self._items)
+            return ItemChanges(newer, self.as_of, False, keys)
+        return ItemChanges(newer, self.as_of, False)
 
     def has_read_store_recently(self, now_ms: float) -> bool:
         """Return whether this node itself has read the store recently."""
@@ -108,9 +105,9 @@
         if event.from_store:
             self._store_read_ms = event.now_ms
         changed = [item for item in event.items if self._merge(item)]
-        if event.is_whole:
+        if event.is_whole or event.existing_keys:
             changed.extend(self._remove_missing(event))
-            self._record_whole(event.as_of)
+            self._record_unknown_removals(event.as_of)
         for item in event.items:
             self.newest_revision = max(self.newest_revision, item.revision)
         source = ItemsSource.STORE if event.from_store else ItemsSource.PEER
@@ -149,8 +146,8 @@
         return True
 
     def _remove_missing(self, event: ItemsRead) -> list[PublishedItem]:
-        """Remove items that a whole read does not contain, unless newer."""
-        present = {item.key for item in event.items}
+        """Remove items that the read does not name as existing, unless newer."""
+        present = event.existing_keys or {item.key for item in event.items}
         missing = [
             PublishedItem(key, event.as_of, None)
             for key, item in self._items.items()
@@ -158,19 +155,15 @@
         ]
         return [item for item in missing if self._merge(item)]
 
-    def _record_whole(self, as_of: Revision) -> None:
-        """Record that removals up to a whole read may be unknown.
+    def _record_unknown_removals(self, as_of: Revision) -> None:
+        """Record that removals up to this revision may be unknown.
 
-        The read lacks items that were added and removed since the previous
-        revision of this node, and it does not say when any item was removed.
-        A peer with a revision in between may still have such an item.
+        A read that names what exists lacks items that were added and removed
+        since the previous read, and does not say when any item was removed. A
+        peer with a revision in between may still have such an item.
         """
         self.newest_revision = max(self.newest_revision, as_of)
-        if as_of > self.as_of:
-            self._discarded_revision = max(
-                self._discarded_revision, self._gap.end
-            )
-            self._gap = _Gap(self.as_of, as_of)
+        self._discarded_revision = max(self._discarded_revision, as_of)
 
     def _record_removed(self, item: PublishedItem) -> None:
         self._removed.pop(item.key, None)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_frames.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_frames.py
@@ -5,7 +5,11 @@
 
 import capnp
 
-from figdoor_gateway.peers._item_rows import decode_item, encode_item
+from figdoor_gateway.peers._item_rows import (
+    checked_key,
+    decode_item,
+    encode_item,
+)
 from figdoor_gateway.peers._schema import MalformedMessage, schema
 from figdoor_gateway.peers._vm_rows import checked_text
 from figdoor_kernel import NodeId, PublishedItem, Revision
@@ -26,13 +30,15 @@
 class ItemsAnswer:
     """The changed items, or all items if ``is_whole``.
 
-    ``age_ms`` is the time since the store confirmed them.
+    ``age_ms`` is the time since the store confirmed them. ``existing_keys`` are
+    those of ``ItemChanges``.
     """
 
     as_of: Revision
     is_whole: bool
     age_ms: float
     items: tuple[PublishedItem, ...]
+    existing_keys: frozenset[str] = frozenset()
 
 
 def encode_items_request(request: ItemsRequest) -> bytes:
@@ -64,6 +70,7 @@
         isWhole=answer.is_whole,
         ageMs=answer.age_ms,
         items=[encode_item(item) for item in answer.items],
+        existingKeys=list(answer.existing_keys),
     )
     encoded: bytes = frame.to_bytes_packed()
     return encoded
@@ -81,6 +88,7 @@
             answer.isWhole,
             answer.ageMs,
             tuple(decode_item(row) for row in answer.items),
+            frozenset(checked_key(key) for key in answer.existingKeys),
         )
     except (capnp.KjException, ValueError) as error:
         raise MalformedMessage(str(error)) from error
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_rows.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_rows.py
@@ -21,7 +21,12 @@
 
 def decode_item(row: Any) -> PublishedItem:
     """Return the item; raises ``MalformedMessage``."""
-    if len(row.key) > MAX_KEY_LENGTH:
-        raise MalformedMessage('key is too long')
     content = None if row.isRemoved else bytes(row.content)
-    return PublishedItem(row.key, Revision(row.revision), content)
+    return PublishedItem(checked_key(row.key), Revision(row.revision), content)
+
+
+def checked_key(key: str) -> str:
+    """Return the key of an item; raises ``MalformedMessage``."""
+    if len(key) > MAX_KEY_LENGTH:
+        raise MalformedMessage('key is too long')
+    return key
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
@@ -62,6 +62,7 @@
             from_store=False,
             now_ms=now_ms,
             peer=peer,
+            existing_keys=answer.existing_keys,
         )
         self._node.events.publish(items_read)
         self._items.confirm(answer.as_of, answer.age_ms, peer, now_ms)
@@ -95,5 +96,6 @@
             changes.is_whole,
             self._items.age_ms(self._node.clock.now_ms()),
             changes.items,
+            changes.existing_keys,
         )
         return ItemsAnswer.__name__, encode_items_answer(answer)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -97,6 +97,8 @@
   isWhole @1 :Bool;
   ageMs @2 :Float64;
   items @3 :List(Item);
+  # The keys of all items that exist, if ``items`` may lack removals.
+  existingKeys @4 :List(Text);
 }
 
 struct Flooded {
--- a/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
@@ -90,8 +90,9 @@
 
     They include every change up to revision ``as_of``. If ``is_whole`` is
     true, ``items`` are all items that exist; otherwise they are those that
-    changed after the last revision that this node had. ``peer`` is empty for
-    items from the store.
+    changed after the last revision that this node had. If there are
+    ``existing_keys``, they may lack removals, and any other key than these was
+    removed. ``peer`` is empty for items from the store.
     """
 
     items: tuple[PublishedItem, ...]
@@ -100,6 +101,7 @@
     from_store: bool
     now_ms: float
     peer: NodeId = NodeId('')
+    existing_keys: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -102,6 +102,7 @@
                 False,
                 now_ms,
                 peer,
+                changes.existing_keys,
             )
         )
         own.confirm(changes.as_of, others.age_ms(now_ms), peer, now_ms)
