Do not push answers that may lack removals

Cause: a delegate passes the items that it gets from a peer on to its zone as a push, which claims to hold every change since its base. Since such items may lack removals, which their keys make up for, and a push has no keys.

Change: ItemsRead.may_lack_removals says whether the items name what exists instead of all changes, and the relay sends a confirmation in this case.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -173,8 +173,9 @@
     def _on_items_read(self, event: ItemsRead) -> None:
         """Push changes from the store to all, those from peers to the zone.
 
-        If there are none, or if they do not fit into a datagram, a confirmation
-        is sent instead, and the others fetch what they lack.
+        If there are none, if they may lack removals, or if they do not fit into
+        a datagram, a confirmation is sent instead, and the others fetch what
+        they lack.
         """
         base = self._pushed_as_of
         self._pushed_as_of = self._items.as_of
@@ -192,7 +193,7 @@
         size = sum(
             len(item.key) + len(item.content or b'') for item in event.items
         )
-        if event.is_whole or not 0 < size <= MAX_PUSH_BYTES:
+        if event.may_lack_removals or not 0 < size <= MAX_PUSH_BYTES:
             self._next_confirm_ms = event.now_ms + CONFIRM_INTERVAL_MS
             self._confirm_to(peers, event.now_ms)
             return
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -105,7 +105,7 @@
         if event.from_store:
             self._store_read_ms = event.now_ms
         changed = [item for item in event.items if self._merge(item)]
-        if event.is_whole or event.existing_keys:
+        if event.may_lack_removals:
             changed.extend(self._remove_missing(event))
             self._record_unknown_removals(event.as_of)
         for item in event.items:
--- a/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
@@ -103,6 +103,11 @@
     peer: NodeId = NodeId('')
     existing_keys: frozenset[str] = frozenset()
 
+    @property
+    def may_lack_removals(self) -> bool:
+        """Whether ``items`` name what exists instead of all changes."""
+        return self.is_whole or bool(self.existing_keys)
+
 
 @dataclass(frozen=True, slots=True)
 class ItemsAdvanced:
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -171,6 +171,21 @@
         items = fleet.part('n1', 'published-items')
         assert (items.as_of, set(items.items)) == (6, set())
 
+    def test_delegate_does_not_pass_on_an_answer_that_may_lack_a_removal(self):
+        """Guards against a whole zone that keeps a removed worker.
+
+        The answer names the item that was added, not the one that was removed
+        before that.
+        """
+        fleet = self.fleet()
+        fleet.start(0)
+        added = PublishedItem('b', 7, b'x')
+        fleet.read('n0', added, as_of=7, is_whole=True)
+        fleet.fetch('n1', 'n0')
+        for name in ('n1', 'n2'):
+            items = fleet.part(name, 'published-items')
+            assert items.as_of < 6 or 'a' not in items.items
+
 
 class TestZones:
     """News reach every node, with few messages from any one of them."""
--- a/tests/fuzz/test_items_relay.py
+++ b/tests/fuzz/test_items_relay.py
@@ -123,6 +123,19 @@
         self.fleet.start(number)
         self.read_all(number)
 
+    @rule(number=nodes, added=st.sampled_from(KEYS))
+    def restart_during_a_replacement(self, number, added):
+        """Let others learn of a replacement from a node that just started."""
+        listed = [item.key for item in self.store.existing()]
+        for key in listed[:1]:
+            self.write(key, exists=False)
+        self.write(added, exists=True)
+        self.restart_and_read(number)
+        self.pass_time(50)
+        self.deliver_all()
+        self.fetch_missing()
+        self.deliver_all()
+
     @rule(duration_ms=st.sampled_from((50, 500, 3000)))
     def pass_time(self, duration_ms):
         self.fleet.run(duration_ms)
