Share the fetches from peers between tests of a store fleet

Cause: the state machine and the test of rolling restarts each collected the nodes that lack items, and fetched them, by the same lines.

Change: tests only. Fleet records such nodes, and fetch_missing lets them ask.

Measurement: test_gossip.py, test_rolling_restarts.py and test_items_relay.py pass.

--- a/tests/decisions/test_rolling_restarts.py
+++ b/tests/decisions/test_rolling_restarts.py
@@ -4,7 +4,7 @@
 from gossip_fleet import STEP_MS, Fleet
 
 from figdoor_decisions.published import ReadKind
-from figdoor_kernel import ItemsBehind, PublishedItem
+from figdoor_kernel import PublishedItem
 
 # The time within which a change of the store must be in force.
 IN_FORCE_MS = 2000
@@ -24,16 +24,8 @@
         self.entries = {}
         self.history = []
         self.removed_ms = {}
-        self.behind = []
         super().__init__(size, zones)
 
-    def start(self, number):
-        super().start(number)
-        name = f'n{number}'
-        self.nodes[name].events.subscribe(
-            ItemsBehind, lambda event: self.behind.append((name, event.peer))
-        )
-
     def write(self, key, content):
         self.revision += 1
         item = PublishedItem(key, self.revision, content)
@@ -52,10 +44,7 @@
             store_read = plan.next_read(now_ms)
             if store_read is not None:
                 self.answer(name, store_read)
-        behind, self.behind = self.behind, []
-        for name, peer in behind:
-            if name in self.nodes and peer in self.nodes:
-                self.fetch(name, peer)
+        self.fetch_missing()
 
     def answer(self, name, store_read):
         """Answer a read; a watch without changes waits, as at the store."""
--- a/tests/fuzz/test_items_relay.py
+++ b/tests/fuzz/test_items_relay.py
@@ -14,7 +14,7 @@
     rule,
 )
 
-from figdoor_kernel import ItemsBehind, PublishedItem
+from figdoor_kernel import PublishedItem
 
 NODES = 4
 KEYS = 'abcd'
@@ -52,16 +52,8 @@
 
     def __init__(self, size):
         self.waiting = []
-        self.behind = []
         super().__init__(size)
 
-    def start(self, number):
-        super().start(number)
-        name = f'n{number}'
-        self.nodes[name].events.subscribe(
-            ItemsBehind, lambda event: self.behind.append((name, event.peer))
-        )
-
     def deliver(self, sender, target, message):
         self.waiting.append((sender, target, message))
 
@@ -156,10 +148,7 @@
 
     @rule()
     def fetch_missing(self):
-        """Let each node that noticed a gap ask the peer that it heard from."""
-        behind, self.fleet.behind = self.fleet.behind, []
-        for name, peer in behind:
-            self.fleet.fetch(name, peer)
+        self.fleet.fetch_missing()
 
     @invariant()
     def check_no_change_is_skipped(self):
--- a/tests/gossip_fleet.py
+++ b/tests/gossip_fleet.py
@@ -7,6 +7,7 @@
 from figdoor_kernel import (
     AddressSendRequested,
     Extension,
+    ItemsBehind,
     ItemsRead,
     PeerMessageReceived,
     PeerSendRequested,
@@ -26,6 +27,8 @@
         self.size = size
         self.zones = zones
         self.sent = Counter()
+        # Nodes that noticed that they lack items, each with the peer.
+        self.behind = []
         for number in range(size):
             self.start(number)
 
@@ -50,6 +53,9 @@
                 name, f'n{event.address[7:-2]}', event.message
             ),
         )
+        node.events.subscribe(
+            ItemsBehind, lambda event: self.behind.append((name, event.peer))
+        )
         self.nodes[name] = node
         node.part(Extension.SERVICE, 'members').start()
 
@@ -88,6 +94,13 @@
             ItemsRead(items, as_of, is_whole, True, now_ms)
         )
 
+    def fetch_missing(self):
+        """Let each node that noticed a gap ask the peer that it heard from."""
+        behind, self.behind = self.behind, []
+        for name, peer in behind:
+            if name in self.nodes and peer in self.nodes:
+                self.fetch(name, peer)
+
     def fetch(self, name, peer):
         """Let a node take the items that it lacks from a peer."""
         now_ms = self.clock.now_ms()
