--- a/tests/decisions/stopping/test_admission.py
+++ b/tests/decisions/stopping/test_admission.py
@@ -21,7 +21,7 @@
 
 
 class Rig(StoreNode):
-    """A node that stops at time 0, with one upstream and one route.
+    """A node with two upstreams and one route, which a test stops.
 
     The route has an objective of 1 s and a deadline of 8 s.
     """
