--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/__init__.py
@@ -3,6 +3,7 @@
 from figdoor_decisions.retries._advice import SpreadAdvice
 from figdoor_decisions.retries._fleet_budget import FleetRetryBudget
 from figdoor_decisions.retries._hedging import SlowAnswerHedge
+from figdoor_decisions.retries._latencies import RouteLatencies
 from figdoor_decisions.retries._rules import DeadlineRule, RetryBudget
 from figdoor_decisions.retries._time_left import TimeLeftRule
 from figdoor_kernel import Extension, Registry
@@ -11,6 +12,7 @@
     'SlowAnswerHedge',
     'DeadlineRule',
     'RetryBudget',
+    'RouteLatencies',
     'TimeLeftRule',
     'register',
     'FleetRetryBudget',
@@ -21,7 +23,8 @@
 
 
 def register(registry: Registry) -> None:
-    """Provide the two rules about the time left."""
+    """Provide the latencies of routes, and two rules about the time left."""
+    registry.provide(Extension.SERVICE, 'route-latencies', RouteLatencies)
     registry.provide(Extension.ADMISSION_RULE, 'deadline', DeadlineRule)
     registry.provide(Extension.ADMISSION_RULE, 'time-left', TimeLeftRule)
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/retries/_hedging.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/retries/_hedging.py
@@ -3,7 +3,7 @@
 from collections import defaultdict, deque
 
 from figdoor_decisions.load_probing import FreshLoads
-from figdoor_decisions.retries._time_left import upper_median
+from figdoor_decisions.retries._latencies import upper_median
 from figdoor_kernel import (
     AttemptEnded,
     AttemptState,
--- a/packages/figdoor-kernel/src/figdoor_kernel/_states.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_states.py
@@ -27,6 +27,7 @@
     TENANT_SHARE = 'tenant-share'
     QUARANTINED = 'quarantined'
     OVERLOAD = 'overload'
+    STOPPING = 'stopping'
 
 
 @unique
