Report the evacuated availability zones of a node

Cause: the pages, the metrics and `figdoor-ctl status` compare nodes by the revision of their tables only. A node that lacked an evacuation, or had one too many, was visible in its log alone.

--- a/packages/figdoor-ctl/src/figdoor_ctl/status/_comparing.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/status/_comparing.py
@@ -7,6 +7,7 @@
 _ABSENT = 'none'
 _SUBJECTS: Mapping[str, Callable[[NodeReport], object]] = {
     'revision': lambda report: report.revision,
+    'evacuated zones': lambda report: ', '.join(report.evacuated) or _ABSENT,
     'state': lambda report: report.state.value,
     'findings': lambda report: '; '.join(report.findings) or _ABSENT,
 }
--- a/packages/figdoor-ctl/src/figdoor_ctl/status/_reading.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/status/_reading.py
@@ -28,6 +28,7 @@
     pools: Rows
     upstream_count: int
     tenants: Rows = field(default_factory=dict)
+    evacuated: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +59,7 @@
         {str(row['route']): row for row in fields['routes']},
         {str(row['pool']): row for row in fields['pools']},
         len(fields['upstreams']),
-        # Nodes of an earlier release report no tenants.
+        # Nodes of an earlier release report no tenants or evacuated zones.
         {str(row['tenant']): row for row in fields.get('tenants', ())},
+        tuple(map(str, fields.get('evacuated', ()))),
     )
--- a/packages/figdoor-ctl/src/figdoor_ctl/status/_rendering.py
+++ b/packages/figdoor-ctl/src/figdoor_ctl/status/_rendering.py
@@ -21,6 +21,8 @@
         f'{len(report.routes)} routes, {len(report.pools)} pools, '
         f'{report.upstream_count} upstreams'
     )
+    if report.evacuated:
+        yield f'  evacuated zones: {", ".join(report.evacuated)}'
     for reason in report.not_ready_because:
         yield f'  not ready: {reason}'
     if report.findings:
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
@@ -26,6 +26,11 @@
             'Refused revision newer than the one in force, 0 if there is none',
             registry=collectors,
         )
+        self._evacuated = Gauge(
+            'figdoor_evacuated_zones',
+            'Availability zones whose upstreams get no requests',
+            registry=collectors,
+        )
         self._confirmed_age = Gauge(
             'figdoor_tables_confirmed_age_seconds',
             'Time since the tables were last confirmed, -1 if they never were',
@@ -73,10 +78,7 @@
     def update(self) -> None:
         """Set all gauges from the current state."""
         node = self._node
-        revision = node.revision
-        refused = self._service('acceptance').refused_revision
-        self._revision.set(revision)
-        self._refused.set(refused if refused > revision else 0)
+        self._update_tables()
         self._confirmed_age.set(self._confirmed_age_s())
         self._ready.set(self._service('readiness').state is NodeState.READY)
         self._nodes.set(len(node.fleet.nodes()))
@@ -93,6 +95,15 @@
         for labels, count in counts.items():
             self._upstreams.labels(*labels).set(count)
 
+    def _update_tables(self) -> None:
+        node = self._node
+        revision = node.revision
+        refused = self._service('acceptance').refused_revision
+        self._revision.set(revision)
+        self._refused.set(refused if refused > revision else 0)
+        evacuated = node.tables.evacuated if node.tables else ()
+        self._evacuated.set(len(evacuated))
+
     def _update_waiting(self) -> None:
         self._waiting.clear()
         queues = self._node.registry.names(Extension.CALL_QUEUE)
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_html.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_html.py
@@ -48,11 +48,12 @@
 def _tables(status: Mapping[str, Any]) -> str:
     if not status['revision']:
         return 'No tables are in force.'
+    zones = ', '.join(status['evacuated']) or 'none'
     return (
         f'Revision {status["revision"]} of the tables has been in force since '
         f'{status["accepted_at"]}: {len(status["routes"])} routes, '
         f'{len(status["pools"])} pools, '
-        f'{len(status["upstreams"])} upstreams.'
+        f'{len(status["upstreams"])} upstreams. Evacuated zones: {zones}.'
     )
 
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_status.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_status.py
@@ -50,6 +50,7 @@
                 readiness.reasons(node.clock.now_ms()),
             ),
             'revision': acceptance.revision,
+            'evacuated': sorted(node.tables.evacuated) if node.tables else [],
             'accepted_at': self._accepted_at,
             **self._refusal(acceptance),
             'nodes': len(node.fleet.nodes()),
--- a/tests/ctl/test_status.py
+++ b/tests/ctl/test_status.py
@@ -63,6 +63,10 @@
                 {'routes': [{'route': 'read', 'deadline_ms': 9}]},
                 f'routes, row read, deadline_ms: 1000 on {FIRST}; 9 on',
             ),
+            (
+                {'evacuated': ['z1', 'z2']},
+                f'evacuated zones: none on {FIRST}; z1, z2 on {SECOND}',
+            ),
             ({'pools': []}, f'pools, row work: present on {FIRST}; none on'),
         ],
     )
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -97,6 +97,7 @@
         publish_vm_list(self.node, upstream_vm('w1'), upstream_vm('w2', 'z2'))
         text = self.metrics.render().decode()
         assert 'figdoor_tables_revision 1.0' in text
+        assert 'figdoor_evacuated_zones 0.0' in text
         assert 'figdoor_ready 1.0' in text
         assert 'figdoor_tables_confirmed_age_seconds 1.5' in text
         assert 'figdoor_upstreams{service="work",vm_state="live"} 2.0' in text
--- a/tests/gateway/test_operator.py
+++ b/tests/gateway/test_operator.py
@@ -1,6 +1,7 @@
 """The operator page and ``/in-force``: same content, and escaped."""
 
 import json
+from dataclasses import replace
 
 from support import (
     POOLS,
@@ -19,6 +20,7 @@
 from figdoor_kernel import (
     Extension,
     Revision,
+    TablesAccepted,
     TablesOffered,
     Tick,
     UpstreamState,
@@ -79,6 +81,15 @@
             'leaving_upstreams': 1,
         }
 
+    def test_evacuated_zones_are_reported(self):
+        """Guards against nodes that differ in a way no operator can see."""
+        self.offer(3)
+        tables = replace(self.node.tables, evacuated=frozenset(('z2', 'z1')))
+        self.node.events.publish(TablesAccepted(tables, 0))
+        status, page = self.status_and_page()
+        assert status['evacuated'] == ['z1', 'z2']
+        assert 'Evacuated zones: z1, z2' in page
+
     def test_refused_tables_are_shown_until_newer_ones_are_in_force(self):
         self.offer(3)
         self.offer(4, POOLS.replace('6,', '0,'))
