Keep a configuration that an evacuation overtakes

Callers saw: after a freeze of a node, requests there were run by the service of an old configuration until the operator published something else.

Cause: the decoder kept one revision for the configuration and all evacuations, the highest seen, and published tables only above the revision in force. Items taken ahead of others may arrive in any order, so the one of the lower revision was stored and never came into force.

Tables of the revision in force are accepted if their evacuated zones differ.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
@@ -5,6 +5,7 @@
     Node,
     Revision,
     Service,
+    Tables,
     TablesAccepted,
     TablesRead,
     TablesRefused,
@@ -12,10 +13,12 @@
 
 
 class NewestAcceptance(Service):
-    """Accepts tables of a higher revision at once.
+    """Accepts tables at once, unless their configuration is an older one.
 
     The store of the platform returns the newest revision and accepts only valid
-    configurations, so no agreement between nodes is needed.
+    configurations, so no agreement between nodes is needed. Tables of the
+    revision in force are accepted if their evacuated zones differ: each zone has
+    an item of its own, which never reverts either.
     """
 
     def __init__(self, node: Node) -> None:
@@ -43,10 +46,16 @@
         )
 
     def _on_read(self, event: TablesRead) -> None:
-        if event.tables.revision > self.revision:
+        if self._is_newer(event.tables):
             events = self._node.events
             events.publish(TablesAccepted(event.tables, event.now_ms))
 
+    def _is_newer(self, tables: Tables) -> bool:
+        current = self._node.tables
+        if current is None or tables.revision != current.revision:
+            return tables.revision > self.revision
+        return tables.evacuated != current.evacuated
+
     def _on_refused(self, event: TablesRefused) -> None:
         self.refused_revision = event.revision
         self.findings = event.findings
--- a/packages/figdoor-gateway/src/figdoor_gateway/operator/_status.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/operator/_status.py
@@ -8,6 +8,7 @@
     Extension,
     Node,
     NodeStateChanged,
+    Revision,
     TablesAccepted,
     TablesRefused,
     UpstreamId,
@@ -28,6 +29,7 @@
         self._started_at = _wall_clock()
         self._state_since = self._started_at
         self._accepted_at = ''
+        self._accepted_revision = Revision(0)
         self._refused_at = ''
         self._states: dict[UpstreamId, UpstreamState] = {}
         node.events.subscribe(NodeStateChanged, self._on_state)
@@ -76,7 +78,10 @@
         self._state_since = _wall_clock()
 
     def _on_accepted(self, event: TablesAccepted) -> None:
-        self._accepted_at = _wall_clock()
+        # Tables come again with the same revision when a zone is evacuated.
+        if event.tables.revision != self._accepted_revision:
+            self._accepted_revision = event.tables.revision
+            self._accepted_at = _wall_clock()
 
     def _on_refused(self, event: TablesRefused) -> None:
         self._refused_at = _wall_clock()
