Ignore items of a late answer that were removed before it arrived

Callers saw: a restarted node sent requests to an upstream for as long as it served after its entry had been removed; orders that it had accepted were cut when it exited.

Cause: any item with an unknown key was merged. A node that starts reads what exists and no removals, so a late answer of a peer, or of the store, brought back items that were removed before the node's first read.

Change: an item up to the revision that a node is complete to is merged only from a read of the store that is as new as the node.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -44,7 +44,8 @@
     """Merges items from the store and from peers; the highest revision wins.
 
     The store counts the revisions of all keys with one counter, so the higher
-    revision of a key is the newer one, wherever it came from.
+    revision of a key is the newer one, wherever it came from. An item that is
+    unknown although all changes up to its revision are known was removed.
     """
 
     def __init__(self, node: Node) -> None:
@@ -118,7 +119,11 @@
     def _on_read(self, event: ItemsRead) -> None:
         if event.from_store and not event.is_partial:
             self._store_read_ms = event.now_ms
-        changed = [item for item in event.items if self._merge(item)]
+        changed = [
+            item
+            for item in event.items
+            if not self._is_outdated(item, event) and self._merge(item)
+        ]
         if event.may_lack_removals:
             changed.extend(self._remove_missing(event))
             self._record_unknown_removals(event.as_of)
@@ -147,9 +152,26 @@
                 ItemsAdvanced(before, as_of, source, peer, changed, now_ms)
             )
 
+    def _is_outdated(self, item: PublishedItem, event: ItemsRead) -> bool:
+        """Return whether an item was replaced or removed since the read.
+
+        This node has every change up to ``as_of``, so an unknown item of a
+        lower revision was removed, also if the removal itself is unknown here:
+        reads of all items do not name removals. Peers and the store may have
+        answered before it. A read of the store that is as new as this node is
+        right about what exists.
+        """
+        is_latest = event.from_store and event.as_of >= self.as_of
+        return item.content is not None and not (
+            is_latest or item.revision > self.as_of
+        )
+
     def _is_newer(self, item: PublishedItem) -> bool:
-        current = self._items.get(item.key) or self._removed.get(item.key)
-        return current is None or current.revision < item.revision
+        known = self._last_change(item.key)
+        return known is None or known.revision < item.revision
+
+    def _last_change(self, key: str) -> PublishedItem | None:
+        return self._items.get(key) or self._removed.get(key)
 
     def _merge(self, item: PublishedItem) -> bool:
         if not self._is_newer(item):
