Push only items that the sender holds itself

Cause: a delegate passed the items of a peer's answer on to its zone as they came. With an answer from before a removal, a node that was behind took the removed item ahead of the changes that it lacked.

Change: a push names only the last change of each key that the sender knows.

--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -16,6 +16,7 @@
     NodeId,
     PeerMessageReceived,
     PeerSendRequested,
+    PublishedItem,
     Revision,
     Service,
     StopNotice,
@@ -196,15 +197,15 @@
         base: Revision,
         peers: tuple[NodeId, ...],
     ) -> None:
-        size = sum(
-            len(item.key) + len(item.content or b'') for item in event.items
-        )
+        # A late answer may name items that were removed in the meantime.
+        items = self._items.current(event.items)
+        size = sum(map(_size_of, items))
         if event.may_lack_removals or not 0 < size <= MAX_PUSH_BYTES:
             self._next_confirm_ms = event.now_ms + CONFIRM_INTERVAL_MS
             self._confirm_to(peers, event.now_ms)
             return
         age_ms = min(UNKNOWN_AGE_MS, self._items.age_ms(event.now_ms))
-        push = ItemsPush(base, self._items.as_of, age_ms, event.items)
+        push = ItemsPush(base, self._items.as_of, age_ms, items)
         for peer in peers:
             self._send(peer, push)
 
@@ -290,3 +291,7 @@
         self, peer: NodeId, message: Digest | ItemsPush | StopNotice
     ) -> None:
         self._node.events.publish(PeerSendRequested(peer, message))
+
+
+def _size_of(item: PublishedItem) -> int:
+    return len(item.key) + len(item.content or b'')
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -81,6 +81,17 @@
             if item.revision > self.as_of and self._is_newer(item)
         )
 
+    def current(
+        self, items: Iterable[PublishedItem]
+    ) -> tuple[PublishedItem, ...]:
+        """Return those that are the last change of their key known here."""
+        return tuple(
+            item
+            for item in items
+            if (known := self._last_change(item.key)) is not None
+            and known.revision == item.revision
+        )
+
     def changes_after(self, revision: Revision) -> ItemChanges:
         """Return the items that a reader at this revision lacks."""
         if not revision or not self._items:
--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -1,5 +1,7 @@
 """Members, reader roles and the relay of items among several nodes."""
 
+from dataclasses import replace
+
 import pytest
 from gossip_fleet import Fleet
 from support import Recorder, store_node
@@ -244,6 +246,25 @@
         items = fleet.part('n1', 'published-items')
         assert (items.as_of, set(items.items)) == (6, set())
 
+    def test_delegate_does_not_push_an_item_that_was_removed_meanwhile(self):
+        """Guards against a removed worker in use at nodes that are behind."""
+        fleet = self.fleet()
+        late = fleet.answer_of('n1', 'n0')
+        (delegate, other, *_) = [
+            name
+            for name in fleet.nodes
+            if fleet.part(name, 'zone-delegates').is_delegate
+        ]
+        fleet.cut = {other}
+        fleet.read(delegate, PublishedItem('a', 6, None), as_of=6)
+        fleet.cut = set()
+        fleet.start(int(other[1:]))
+        fleet.run(1000)
+        late = replace(late, items=(PublishedItem('a', 5, b'x'),))
+        fleet.nodes[delegate].events.publish(late)
+        items = fleet.part(other, 'published-items')
+        assert 'a' not in items.items
+
     def test_delegate_does_not_pass_on_an_answer_that_may_lack_a_removal(self):
         """Guards against a whole zone that keeps a removed worker.
 
