--- a/tests/platform_adapter/test_decoder.py
+++ b/tests/platform_adapter/test_decoder.py
@@ -21,6 +21,7 @@
     PublishedItem,
     RequestSize,
     ResponseSize,
+    TablesRefused,
 )
 from figdoor_platform import PublishedDecoder, _configuration
 from figdoor_platform._configuration import read_configuration
@@ -299,6 +300,21 @@
         rig.publish('op/evacuate/delta', 5, None)
         assert not rig.tables.evacuated
 
+    @pytest.mark.parametrize('content', [b'{', None])
+    def test_zone_is_evacuated_while_the_last_configuration_stays(
+        self, content
+    ):
+        """Guards against a refused configuration that blocks evacuations."""
+        rig = Rig()
+        refused = Recorder(rig.node, TablesRefused)
+        rig.publish('op/config', 3, configuration())
+        rig.publish('op/config', 4, content)
+        rig.publish('op/evacuate/delta', 5, b'{}')
+        assert (rig.tables.revision, rig.tables.evacuated) == (3, {'delta'})
+        rig.publish('op/evacuate/delta', 6, None)
+        assert not rig.tables.evacuated
+        assert len(refused.events) == (content is not None)
+
 
 class TestOrderOfArrival:
     """Guards against a change that another one overtakes and discards.
