Reject responses whose status is not valid

Callers saw: a response with a status from 000 to 099 and no body was skipped like an interim one, so a call waited for its deadline or got what the upstream sent next; statuses from 600 to 999 were forwarded.

Cause: the parser accepts any three digits, and the connection took all below 200 for interim and all above for final.

Change: a status outside of 100 to 599 loses the attempt at once. A malformed reason phrase is left out. The client for the store rejects a status below 100 instead of waiting for its timeout.

--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
@@ -33,6 +33,8 @@
     ResponseTooLongError,
 )
 
+# Lower ones are invalid, not interim (RFC 9110, section 15).
+_FIRST_STATUS = 100
 _OK = 200
 _HTTP_PORT = 80
 _DEFAULT_LIMITS = ResponseLimits()
@@ -213,6 +215,8 @@
     def on_headers_complete(self) -> None:
         """Note the status, unless the response is interim."""
         status = self._parser.get_status_code()
+        if status < _FIRST_STATUS:
+            raise PlatformError(f'the platform sent the status {status}')
         if status >= _OK:
             self._status = status
             # Read here, since the parser forgets it at the end of the message.
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -30,8 +30,6 @@
 # then needs a second iteration of the loop and a second write, because of the
 # size of its head.
 READ_BUFFER_BYTES = 80 * 1024
-_SWITCHING_PROTOCOLS = 101
-_FIRST_FINAL_STATUS = 200
 
 
 class UpstreamConnection(ClientConnection):
@@ -189,7 +187,7 @@
 
     def on_status(self, reason: bytes) -> None:
         """Collect the reason phrase."""
-        self._response.reason += reason
+        self._response.add_reason(reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header."""
@@ -199,9 +197,7 @@
         """Forward the head, unless the response is interim or stray."""
         response = self._response
         response.status = self._parser.get_status_code()
-        if response.status == _SWITCHING_PROTOCOLS:
-            raise InvalidResponseError
-        if response.status < _FIRST_FINAL_STATUS:
+        if response.is_interim():
             return
         try:
             head = response.make_head()
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_response.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_response.py
@@ -1,5 +1,6 @@
 """State of one upstream response while it is parsed."""
 
+import re
 from collections.abc import Iterable
 
 from figdoor_gateway.headers import end_to_end
@@ -11,6 +12,13 @@
 )
 
 MAX_HEADERS = 128
+# Other statuses are invalid (RFC 9110, section 15).
+_FIRST_STATUS = 100
+_SWITCHING_PROTOCOLS = 101
+_FIRST_FINAL_STATUS = 200
+_LAST_STATUS = 599
+# The parser accepts any byte in a reason phrase. RFC 9112 does not allow these.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 _BODILESS_STATUSES = frozenset((204, 304))
 _NO_CONTENT = 204
 _LENGTH = b'content-length'
@@ -56,6 +64,22 @@
             return False
         return self._is_close_delimited
 
+    def is_interim(self) -> bool:
+        """Return whether a final response follows the one with this status.
+
+        Raises ``InvalidResponseError`` if the status cannot be forwarded.
+        """
+        is_valid = _FIRST_STATUS <= self.status <= _LAST_STATUS
+        if not is_valid or self.status == _SWITCHING_PROTOCOLS:
+            raise InvalidResponseError
+        return self.status < _FIRST_FINAL_STATUS
+
+    def add_reason(self, reason: bytes) -> None:
+        """Collect the reason phrase, which is left out if it is malformed."""
+        self.reason += reason
+        if _CONTROL_CHARACTER.search(self.reason):
+            self.reason = b''
+
     def add_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are only counted against the limit."""
         self._header_bytes += len(name) + len(value)
--- a/tests/gateway/platform/test_json_client.py
+++ b/tests/gateway/platform/test_json_client.py
@@ -114,7 +114,13 @@
 
     @pytest.mark.parametrize(
         'response',
-        [b'nonsense\r\n', WHOLE + WHOLE, WHOLE.replace(b'"a"', b'a,"')],
+        [
+            b'nonsense\r\n',
+            WHOLE + WHOLE,
+            WHOLE.replace(b'"a"', b'a,"'),
+            b'HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n',
+            b'HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n' + WHOLE,
+        ],
     )
     def test_response_that_is_malformed_is_a_failure(self, rig, response):
         rig.get()
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -134,6 +134,48 @@
 }
 
 
+class TestInvalidStatus:
+    """Guards against bytes that are no status and reach a caller as one.
+
+    Only statuses from 100 to 599 are valid (RFC 9110, section 15).
+    """
+
+    @pytest.mark.parametrize(
+        'status',
+        [
+            *(b'000', b'099', b'600', b'999'),
+            *(b'0', b'20', b'0200', b'2000', b'2x0', b'-20', b'+20', b''),
+        ],
+    )
+    @pytest.mark.parametrize('body', [b'', b'ab'])
+    def test_response_is_lost_at_once(self, status, body):
+        rig = Rig()
+        head = b'HTTP/1.1 %b OK\r\nContent-Length: %d\r\n\r\n'
+        assert rig.receive(head % (status, len(body)) + body) == ['lost']
+        assert not rig.receiver.heads
+        assert rig.wire.aborted
+
+    def test_no_response_is_taken_after_an_invalid_status(self):
+        """Guards against the end of a broken response that looks whole."""
+        rig = Rig()
+        rig.receive(b'HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n' + COMPLETE)
+        assert rig.receiver.ends == ['lost']
+        assert not rig.receiver.heads
+
+    def test_reason_with_a_control_character_is_left_out(self):
+        """Guards against a status line that callers reject or misread."""
+        rig = Rig()
+        response = COMPLETE.replace(b'OK', b'O\x00K')
+        assert rig.receive(response) == ['complete']
+        assert not rig.receiver.heads[0].reason
+
+    @pytest.mark.parametrize('status', [200, 299, 404, 500, 599])
+    def test_final_status_is_forwarded(self, status):
+        rig = Rig()
+        response = COMPLETE.replace(b'200', b'%d' % status)
+        assert rig.receive(response) == ['complete']
+
+
 class TestUpstreamConnection:
     def test_unexpected_error_loses_the_response_and_is_reported(
         self, monkeypatch
