Limit what a response of the store may hold in memory

Cause: the limit on the length of a response counted the body alone. A head, a trailer or a chunk extension without end was collected by the parser until the timeout, up to 7 s at quadratic cost. Pages that repeat or never end were kept for good.

Change: the limit on framing of upstream connections is a class of its own, which the store's client uses too (16 KB).

--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
@@ -18,6 +18,7 @@
 from twisted.python.failure import Failure
 
 from figdoor_gateway.connecting import ClientConnection, open_connection
+from figdoor_gateway.framing import FramingLimit
 from figdoor_gateway.loop import (
     MS_PER_SECOND,
     Timer,
@@ -33,6 +34,8 @@
     ResponseTooLongError,
 )
 
+# The longest head, trailer or chunk extension.
+MAX_FRAMING_BYTES = 16_384
 # Lower ones are invalid, not interim (RFC 9110, section 15).
 _FIRST_STATUS = 100
 _OK = 200
@@ -123,6 +126,7 @@
         self._is_framed = False
         self._stated_bytes = 0
         self._limits = _DEFAULT_LIMITS
+        self._framing_limit = FramingLimit(MAX_FRAMING_BYTES)
         self._timer: Timer | None = None
 
     def get(
@@ -144,6 +148,7 @@
         self._is_complete = False
         self._is_framed = False
         self._stated_bytes = 0
+        self._framing_limit.reset()
         self.is_reusable = False
         self._answered = Deferred(self._abort)
         head = f'GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n'
@@ -180,6 +185,8 @@
             self._fail_too_long()
         elif self._is_complete:
             self._finish()
+        elif not self._framing_limit.fits(len(data)):
+            self._fail('sent too much that is no body')
         elif self._status:
             self._restart_timer(STALL_TIMEOUT_MS)
 
@@ -224,6 +231,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect a part of the body."""
+        self._framing_limit.note_body()
         self._body += data
 
     def on_message_complete(self) -> None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from figdoor_gateway.connecting import ClientConnection
+from figdoor_gateway.framing import FramingLimit
 from figdoor_gateway.protocols import (
     Dialect,
     OutboundRequest,
@@ -65,8 +66,7 @@
         self._is_sending_body = False
         self._is_chunked = False
         self._is_paused = False
-        self._framing_bytes = 0
-        self._has_body_data = False
+        self._framing_limit = FramingLimit(max_header_bytes)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm and enlarge the read buffer."""
@@ -91,8 +91,7 @@
         )
         self._is_chunked = request.body_length is None
         self._is_sending_body = not request.body_complete
-        self._framing_bytes = 0
-        self._has_body_data = False
+        self._framing_limit.reset()
         producer = None
         if self._is_sending_body and request.body_source is not None:
             producer = BodyProducer(request.body_source)
@@ -156,7 +155,7 @@
             return
         if self._response.is_complete:
             self._complete(is_valid)
-        elif is_valid and self._framing_fits(len(data)):
+        elif is_valid and self._framing_limit.fits(len(data)):
             self._receiver.flush()
         else:
             self._fail()
@@ -219,7 +218,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body."""
-        self._has_body_data = True
+        self._framing_limit.note_body()
         if self._response.is_stray:
             return
         if self._response.is_complete or not self._response.has_head:
@@ -234,20 +233,6 @@
         else:
             self._response = self._response.next_response()
 
-    def _framing_fits(self, received_bytes: int) -> bool:
-        """Return whether head, trailer and chunk sizes have allowed lengths.
-
-        Counts the bytes received since the last part of the body, since the
-        parser buffers a header, a trailer or a chunk extension until it is
-        complete. Interim responses count as a part of the head.
-        """
-        if self._has_body_data:
-            self._has_body_data = False
-            self._framing_bytes = 0
-            return True
-        self._framing_bytes += received_bytes
-        return self._framing_bytes <= self._max_header_bytes
-
     def _write_body(self, data: bytes) -> None:
         write_now(
             self.transport,
--- a/tests/gateway/platform/test_json_client.py
+++ b/tests/gateway/platform/test_json_client.py
@@ -14,6 +14,7 @@
 )
 from figdoor_gateway.platform._client import MAX_RESPONSE_BYTES
 from figdoor_gateway.platform._json_client import (
+    MAX_FRAMING_BYTES,
     JsonClient,
     JsonConnection,
 )
@@ -137,6 +138,59 @@
         assert rig.connection.transport.aborted
 
 
+class TestEndlessBytes:
+    """Guards against a parser that buffers until memory runs out.
+
+    A store in trouble may send bytes until this side closes, and each of them
+    restarts the time-out of a pause.
+    """
+
+    HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    PART = b'a' * 4096
+
+    @pytest.mark.parametrize(
+        'begin',
+        [
+            b'HTTP/1.1 200 ',
+            b'HTTP/1.1 200 OK\r\nX-A: ',
+            INTERIM + b'HTTP/1.1 102 ',
+            HEAD + b'2;ext=',
+            HEAD + b'1\r\n{\r\n2;ext=',
+            HEAD + b'0\r\nX-Trailer: ',
+        ],
+    )
+    def test_framing_without_end_is_a_failure(self, rig, begin):
+        rig.get(limits=ResponseLimits(transfer_ms=60_000))
+        rig.receive(begin)
+        received_bytes = 0
+        while not rig.outcomes and received_bytes < MAX_RESPONSE_BYTES:
+            rig.receive(self.PART)
+            received_bytes += len(self.PART)
+        assert received_bytes <= 2 * MAX_FRAMING_BYTES
+        assert isinstance(rig.error, PlatformError)
+        assert rig.connection.transport.aborted
+
+    @pytest.mark.parametrize('line', [b'X-A: b\r\n', b' \r\n', INTERIM])
+    def test_short_lines_without_end_are_a_failure(self, rig, line):
+        rig.get()
+        rig.receive(INTERIM[:-2])
+        for _ in range(MAX_RESPONSE_BYTES // 4096):
+            if not rig.outcomes:
+                rig.receive(line * (4096 // len(line)))
+        assert isinstance(rig.error, PlatformError)
+        assert rig.connection.transport.aborted
+
+    def test_body_is_no_framing(self, rig):
+        rig.get()
+        body = b'"%b"' % (self.PART * 40)
+        rig.receive(
+            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        )
+        for start in range(0, len(body), 1000):
+            rig.receive(body[start : start + 1000])
+        assert rig.outcomes == [(self.PART * 40).decode()]
+
+
 class TestLimits:
     """Guards against long watches that are read whole, and slow ones cut."""
 
--- a/tests/platform_adapter/test_store_source.py
+++ b/tests/platform_adapter/test_store_source.py
@@ -21,7 +21,7 @@
 from figdoor_kernel import Extension, ItemRejected, ItemsRead, Tick
 from figdoor_platform import StoreSource
 from figdoor_platform._configuration import CONFIG_KEY
-from figdoor_platform._store_source import MAX_WATCH_BYTES
+from figdoor_platform._store_source import MAX_ITEMS_BYTES, MAX_WATCH_BYTES
 
 TOO_LONG = 'response that is longer than the limit'
 
@@ -108,6 +108,29 @@
         assert [read.as_of for read in rig.reads.events] == [9]
         assert rig.store.queries[0]['AllowStale'] == '1'
 
+    @pytest.mark.parametrize(
+        'keys', [['servers/a'], ['servers/b', 'servers/a']]
+    )
+    def test_pages_that_do_not_go_on_are_a_failure(self, keys):
+        """Guards against a read that never ends and keeps all of its pages."""
+        pages = [page(row(key, 3), as_of=8, more=True) for key in keys]
+        rig = Rig(*(pages * 20))
+        assert len(rig.store.queries) <= len(pages) + 1
+        assert not rig.reads.events
+
+    def test_items_without_end_are_a_failure(self):
+        content = bytes(MAX_RESPONSE_BYTES // 2)
+        rig = Rig(
+            *(
+                page(
+                    row(f'servers/{number:03}', 3, content), as_of=8, more=True
+                )
+                for number in range(100)
+            )
+        )
+        assert len(rig.store.queries) <= 1 + MAX_ITEMS_BYTES // len(content)
+        assert not rig.reads.events
+
     def test_watch_begins_at_the_oldest_page(self):
         """Guards against a change between two pages that no read returns."""
         rig = Rig(
