Retry elsewhere when a discarded response does not end

Cause: a response that is not forwarded, of an upstream that shed the request or of a failure that is retried, was read to its end before the next attempt. With a body without end the call waited for its deadline.

Change: after 64 KB of such a body the connection is reset and the call goes on.

--- a/packages/figdoor-gateway/src/figdoor_gateway/frontend/_attempt.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/frontend/_attempt.py
@@ -8,6 +8,10 @@
 if TYPE_CHECKING:
     from figdoor_gateway.frontend._proxying import ProxiedCall
 
+# The body of a discarded response is read so that its connection can carry other
+# requests. Bodies of failures are short; a new connection costs less than the
+# time that a longer one takes.
+MAX_DISCARDED_BYTES = 65_536
 _FIRST_SERVER_ERROR = 500
 
 
@@ -25,6 +29,7 @@
         self.was_shed = False
         self.has_failed = False
         self.is_discarded = False
+        self._discarded_bytes = 0
         self._call = call
 
     def confirm_send(self) -> bool:
@@ -45,9 +50,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body."""
-        if not self.is_discarded:
-            with EndsCallOnError(self._call):
-                self._call.on_body(data)
+        if self.is_discarded:
+            self._discard(data)
+            return
+        with EndsCallOnError(self._call):
+            self._call.on_body(data)
 
     def flush(self) -> None:
         """Forward what has been received so far; more will follow."""
@@ -82,3 +89,11 @@
         instead of the garbage collector.
         """
         self.handle = None
+
+    def _discard(self, data: bytes) -> None:
+        """End the attempt if its body keeps the call waiting for too long."""
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            if self.handle is not None:
+                self.handle.cancel()
+            self.on_complete()
--- a/tests/gateway/frontend/test_proxying.py
+++ b/tests/gateway/frontend/test_proxying.py
@@ -8,6 +8,7 @@
 from support import Recorder
 from wires import GET, HEAD, FrontEndRig
 
+from figdoor_gateway.frontend._attempt import MAX_DISCARDED_BYTES
 from figdoor_gateway.protocols import ResponseHead
 from figdoor_kernel import (
     AttemptEnded,
@@ -156,6 +157,20 @@
         rig.attempts[1].respond()
         assert wire.value().startswith(b'HTTP/1.1 200')
 
+    def test_body_without_end_does_not_hold_up_a_call_that_was_shed(self, rig):
+        """Guards against a call that waits for a body nobody gets."""
+        _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
+        shed = rig.attempts[0]
+        shed.respond(503, shed=True, length=None, is_complete=False)
+        received_bytes = 0
+        while len(rig.attempts) == 1 and not wire.value():
+            shed.receiver.on_body(b'a' * 4096)
+            received_bytes += 4096
+            assert received_bytes <= MAX_DISCARDED_BYTES + 4096
+        assert shed.cancelled
+        rig.attempts[1].respond(200)
+        assert wire.value().startswith(b'HTTP/1.1 200')
+
     def test_post_shed_by_all_upstreams_is_not_run(self, rig):
         _, wire = rig.request(POST + b'Content-Length: 0\r\n\r\n')
         for number in range(2):
