Read responses in tiny chunks a few kilobytes at a time

Callers saw: while upstreams of one service sent bodies in chunks of one byte without end, calls to another service were refused.

Cause: one read holds up to 13,000 such chunks and takes 5.5 ms. With three of them in each iteration of the loop, probes of other upstreams exceeded 50 ms.

Change: after a read with more than 500 chunks the rest of the response is read 4 KB at a time.

--- a/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/upstreams/_connection.py
@@ -31,6 +31,11 @@
 # then needs a second iteration of the loop and a second write, because of the
 # size of its head.
 READ_BUFFER_BYTES = 80 * 1024
+# A read of that size may hold 13,000 chunks of a byte, which take 5 ms. If three
+# upstreams send such bodies, probes of the others exceed their 50 ms. A response
+# with more chunks in one read is read in small parts from then on.
+MAX_CHUNKS_PER_READ = 500
+SMALL_READ_BYTES = 4096
 
 
 class UpstreamConnection(ClientConnection):
@@ -67,6 +72,7 @@
         self._is_chunked = False
         self._is_paused = False
         self._framing_limit = FramingLimit(max_header_bytes)
+        self._chunk_count = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm and enlarge the read buffer."""
@@ -92,6 +98,7 @@
         self._is_chunked = request.body_length is None
         self._is_sending_body = not request.body_complete
         self._framing_limit.reset()
+        self.transport.bufferSize = READ_BUFFER_BYTES
         producer = None
         if self._is_sending_body and request.body_source is not None:
             producer = BodyProducer(request.body_source)
@@ -146,10 +153,13 @@
             self.abort()
             return
         is_valid = True
+        self._chunk_count = 0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             is_valid = False
+        if self._chunk_count > MAX_CHUNKS_PER_READ:
+            self.transport.bufferSize = SMALL_READ_BYTES
         if self._receiver is None:
             # The receiver cancelled the request in one of its callbacks.
             return
@@ -219,6 +229,7 @@
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body."""
         self._framing_limit.note_body()
+        self._chunk_count += 1
         if self._response.is_stray:
             return
         if self._response.is_complete or not self._response.has_head:
--- a/tests/gateway/upstreams/test_connection.py
+++ b/tests/gateway/upstreams/test_connection.py
@@ -9,7 +9,11 @@
 
 from figdoor_gateway.headers import FigdoorDialect
 from figdoor_gateway.protocols import OutboundRequest
-from figdoor_gateway.upstreams._connection import UpstreamConnection
+from figdoor_gateway.upstreams._connection import (
+    READ_BUFFER_BYTES,
+    SMALL_READ_BYTES,
+    UpstreamConnection,
+)
 from figdoor_gateway.upstreams._request_handle import HttpRequestHandle
 
 OK = b'HTTP/1.1 200 OK\r\n'
@@ -115,6 +119,29 @@
         assert rig.receiver.ends == ['complete']
 
 
+class TestSmallChunks:
+    """Guards against a body in tiny chunks that delays all other requests."""
+
+    CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+
+    def test_body_in_small_chunks_is_read_in_small_parts(self):
+        rig = Rig()
+        rig.receive(self.CHUNKED + b'1\r\na\r\n' * 1000)
+        assert rig.wire.bufferSize == SMALL_READ_BYTES
+        rig.receive(b'0\r\n\r\n')
+        assert rig.receiver.ends == ['complete']
+        assert rig.receiver.body == b'a' * 1000
+        # The next response on the connection is an ordinary one again.
+        rig.handle = HttpRequestHandle(rig.request, Receiver(), rig._release)
+        rig.handle.send_on(rig.connection)
+        assert rig.wire.bufferSize == READ_BUFFER_BYTES
+
+    def test_body_in_ordinary_chunks_is_read_in_large_parts(self):
+        rig = Rig()
+        rig.receive(self.CHUNKED + (b'400\r\n%b\r\n' % bytes(1024)) * 70)
+        assert rig.wire.bufferSize == READ_BUFFER_BYTES
+
+
 MALFORMED = {
     'garbage': b'\x00garbage\r\n\r\n',
     'neither length nor chunks': OK + b'\r\nab',
