Test stores, checks and peers that send without end

Cause: only unit tests showed that such bytes are bounded, and none that the memory of a node is.

Change: process tests for the store, for health checks and for requests of a peer; a unit test for the answer of a peer.

--- a/tests/gateway/peers/test_transport.py
+++ b/tests/gateway/peers/test_transport.py
@@ -18,12 +18,15 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
+from figdoor_gateway import loop
 from figdoor_gateway.peers import _client, encode
 from figdoor_gateway.peers._addresses import Addresses
+from figdoor_gateway.peers._client import _RequestConnection
 from figdoor_gateway.peers._codec import MAX_DATAGRAM_BYTES
 from figdoor_gateway.peers._counters import PeerCounters
 from figdoor_gateway.peers._datagrams import Datagrams
 from figdoor_gateway.peers._frames import (
+    MAX_ANSWER_BYTES,
     MAX_REQUEST_BYTES,
     SyncRequest,
     decode_answer,
@@ -354,3 +357,28 @@
         assert bool(transport.disconnecting or transport.disconnected) is ends
         connection.connectionLost()
         assert answers == [None]
+
+
+class TestEndlessAnswers:
+    """Guards against a peer that sends bytes until the node closes."""
+
+    @pytest.mark.parametrize(
+        ('length', 'part_bytes'),
+        [(MAX_ANSWER_BYTES + 1, 1), (MAX_ANSWER_BYTES, 65536)],
+    )
+    def test_answer_is_collected_up_to_its_limit(
+        self, monkeypatch, length, part_bytes
+    ):
+        monkeypatch.setattr(loop, 'reactor', Clock())
+        answers = []
+        connection = _RequestConnection(b'request', answers.append)
+        transport = StringTransport()
+        connection.makeConnection(transport)
+        connection.dataReceived(length.to_bytes(4))
+        received_bytes = 0
+        while not transport.disconnecting:
+            connection.dataReceived(bytes(part_bytes))
+            received_bytes += part_bytes
+            assert received_bytes <= MAX_ANSWER_BYTES + part_bytes
+        connection.connectionLost()
+        assert len(answers) == 1
--- a/tests/processes/test_endless_bytes.py
+++ b/tests/processes/test_endless_bytes.py
@@ -4,6 +4,7 @@
 requests of all other callers with it.
 """
 
+import socket
 import threading
 import time
 from pathlib import Path
@@ -13,7 +14,7 @@
 from raw_sockets import open_request
 from test_store_deployment import LIMITS, SERVICE, Rig
 
-from figdoor_standins.processes import wait_until
+from figdoor_standins.processes import http, wait_until
 
 pytestmark = pytest.mark.processes
 
@@ -68,6 +69,11 @@
     )
 
 
+def peak_bytes(process):
+    status = Path(f'/proc/{process.child.pid}/status').read_text()
+    return int(status.partition('VmHWM:')[2].split()[0]) * 1024
+
+
 class EndlessCaller(threading.Thread):
     """Sends one request, and reads as fast as it can, slowly or not at all."""
 
@@ -123,18 +129,13 @@
         self.port = self.nodes[0][1]
         wait_until(lambda: self.status('warm-up') == 200)
 
-    @property
-    def peak_bytes(self):
-        status = Path(f'/proc/{self.process.child.pid}/status').read_text()
-        return int(status.partition('VmHWM:')[2].split()[0]) * 1024
-
     def check(self, work):
         """Do this, and check the memory of the node and other requests."""
-        before_bytes = self.peak_bytes
+        before_bytes = peak_bytes(self.process)
         result = work()
         assert self.status('other') == 200
         assert self.process.child.poll() is None
-        assert self.peak_bytes - before_bytes <= MAX_GROWTH_BYTES
+        assert peak_bytes(self.process) - before_bytes <= MAX_GROWTH_BYTES
         return result
 
 
@@ -174,3 +175,62 @@
         rig.server.send(*HEADS[name])
         (caller,) = rig.check(lambda: self.call(rig, (0,)))
         assert caller.ended_after_s <= MAX_DELAY_S
+
+
+class TestHealthCheck:
+    @pytest.mark.parametrize(
+        ('begin', 'part'),
+        [
+            (HEALTH.replace(b'Length: 0', b'Length: 1000000000000'), b'a'),
+            (HEALTH.replace(b'\r\nContent-Length: 0', b''), b'a'),
+            HEADS['header'],
+            HEADS['interim responses'],
+        ],
+        ids=['sized', 'until close', 'header', 'interim responses'],
+    )
+    def test_check_without_end_fails(self, rig, begin, part):
+        """Guards against checks that pile up what their upstream sends."""
+        rig.server.health = b''
+        rig.server.send(begin, part)
+        caller = rig.check(lambda: EndlessCaller(rig.port, b'r1', 0))
+        caller.join(20)
+        rig.server.health = HEALTH
+        assert caller.ended_after_s <= MAX_DELAY_S
+
+
+class TestPeer:
+    @pytest.mark.parametrize(
+        'begin', [b'', b'\xff\xff\xff\xff', b'\x00\x00\x04\x00']
+    )
+    def test_request_without_end_is_cut(self, rig, begin):
+        """Guards against a peer in trouble that fills the memory of others."""
+
+        def send():
+            address = ('127.0.0.1', rig.peer_ports[0])
+            with socket.create_connection(address, timeout=20) as peer:
+                peer.sendall(begin)
+                with pytest.raises(OSError, match='reset|Broken pipe'):
+                    while True:
+                        peer.sendall(b'a' * 65536)
+
+        rig.check(send)
+
+
+class TestStore:
+    @pytest.mark.parametrize(
+        'name', ['until close', 'header', 'chunk extension', 'trailer']
+    )
+    def test_node_keeps_nothing_of_it(self, tmp_path, name):
+        """Guards against a store in trouble that ends all nodes at once."""
+        server = EndlessServer()
+        server.send(*{**BODIES, **HEADS}[name])
+        rig = Rig(tmp_path)
+        process = rig.add_node(platform_url=f'http://127.0.0.1:{server.port}')
+        _, _, operator_port = rig.nodes[0]
+        wait_until(lambda: http(operator_port, '/healthz')[0] == 200)
+        before_bytes = peak_bytes(process)
+        time.sleep(STORE_READING_S)
+        assert http(operator_port, '/healthz')[0] == 200
+        assert peak_bytes(process) - before_bytes <= MAX_GROWTH_BYTES
+        rig.stack.close()
+        server.close()
