Simplify the test of a delegate's push

Cause: the late answer of the test was one answer with the items of another.

Change: the test writes the answer itself.

--- a/tests/decisions/test_gossip.py
+++ b/tests/decisions/test_gossip.py
@@ -1,7 +1,5 @@
 """Members, reader roles and the relay of items among several nodes."""
 
-from dataclasses import replace
-
 import pytest
 from gossip_fleet import Fleet
 from support import Recorder, store_node
@@ -249,8 +247,10 @@
     def test_delegate_does_not_push_an_item_that_was_removed_meanwhile(self):
         """Guards against a removed worker in use at nodes that are behind."""
         fleet = self.fleet()
-        late = fleet.answer_of('n1', 'n0')
-        (delegate, other, *_) = [
+        listed = PublishedItem('a', 5, b'x')
+        now_ms = fleet.clock.now_ms()
+        late = ItemsRead((listed,), 5, False, False, now_ms, 'n1')
+        delegate, other = [
             name
             for name in fleet.nodes
             if fleet.part(name, 'zone-delegates').is_delegate
@@ -260,7 +260,6 @@
         fleet.cut = set()
         fleet.start(int(other[1:]))
         fleet.run(1000)
-        late = replace(late, items=(PublishedItem('a', 5, b'x'),))
         fleet.nodes[delegate].events.publish(late)
         items = fleet.part(other, 'published-items')
         assert 'a' not in items.items
