--- a/standins/src/figdoor_standins/store_content.py
+++ b/standins/src/figdoor_standins/store_content.py
@@ -42,9 +42,9 @@
 }
 
 
-def fill_store(store_port, worker_port):
-    """Put the configuration and the worker into a store."""
-    entry = {
+def worker_entry(worker_port, **changes):
+    """Return the entry of a worker that is ready."""
+    return {
         'Service': 'work',
         'Address': f'127.0.0.1:{worker_port}',
         'Zone': 'z1',
@@ -54,7 +54,13 @@
         'WarmupLeft': '0ms',
         'Sequence': 1,
         'born': 1,
+        **changes,
     }
+
+
+def fill_store(store_port, worker_port):
+    """Put the configuration and the worker into a store."""
+    entry = worker_entry(worker_port)
     for key, value in (('op/config', CONFIGURATION), ('servers/w', entry)):
         body = json.dumps(value).encode()
         http(store_port, f'/_put?key={key}', 'POST', body)
