--- a/review/15/case.py
+++ b/review/15/case.py
@@ -26,8 +26,7 @@
     await world.open(['delta', 'piney', 'delta', 'piney'])
     for index in range(8):
         worker = await world.add_worker(
-            f'w-{index}', 'orders', ('delta', 'piney')[index % 2]
-        )
+            f'w-{index}', 'orders', ('delta', 'piney')[index % 2], work_s=0.2)
         worker.poison = lambda request: request.target == PATH
     world.store.put('op/config', configuration(
         1, ['orders'], [route('r-orders', '/orders/', 'non_idempotent',
--- a/review/stand3/world.py
+++ b/review/stand3/world.py
@@ -311,7 +311,7 @@
 
     def __init__(self, world, worker_id, service, zone, port, *, work_s=0.05,
                  slots=6, queue=12, tells_load=True, warmup_s=3.0,
-                 answer_bytes=0, crash_per_s=None):
+                 answer_bytes=0):
         super().__init__(port)
         self.world = world
         self.worker_id = worker_id
@@ -323,9 +323,6 @@
         self.tells_load = tells_load
         self.warmup_s = warmup_s
         self.answer_bytes = answer_bytes
-        # A cold worker crashes when it gets more requests in a second.
-        self.crash_per_s = crash_per_s
-        self.crashes = 0
         self.is_up = False
         self.running = 0
         self.waiting = 0
@@ -454,12 +451,6 @@
             'arrives', worker=self.worker_id, path=path, id=request_id
         )
         self.arrivals.append((now_s(), request_id, path))
-        if self._is_overrun():
-            self.crashes += 1
-            self.world.record.write('crash', worker=self.worker_id)
-            self.crash()
-            self.world.in_background(self.restart_later(2.0))
-            return None
         if self.waiting >= self.queue:
             return render(503, [*echo, ('Not-Executed', 1),
                                 *self._load_headers()])
@@ -484,18 +475,6 @@
         return render(200, [*echo, ('Server-Signature', signature),
                             *self._load_headers()], body)
 
-    def _is_overrun(self):
-        """Return whether this cold worker gets too many requests."""
-        if self.crash_per_s is None or not self.cold_left_ms:
-            return False
-        after_s = max(now_s() - 1, self.cold_until_s - self.warmup_s)
-        count = 0
-        for at_s, _, _ in reversed(self.arrivals):
-            if at_s < after_s:
-                break
-            count += 1
-        return count > self.crash_per_s
-
 
 async def _wait_for_close(reader, writer):
     """Return once the peer has closed its connection."""
