--- a/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/gossip/_relay.py
@@ -16,8 +16,8 @@
     NodeId,
     PeerMessageReceived,
     PeerSendRequested,
+    Position,
     PublishedItem,
-    Revision,
     Service,
     StopNotice,
     Tick,
@@ -169,7 +169,7 @@
     ) -> Digest:
         return Digest(
             self._items.as_of,
-            self._items.newest_revision,
+            self._items.newest,
             min(UNKNOWN_AGE_MS, self._items.age_ms(now_ms)),
             wants_reply,
             rows,
@@ -194,7 +194,7 @@
     def _pass_on(
         self,
         event: ItemsRead,
-        base: Revision,
+        base: Position,
         peers: tuple[NodeId, ...],
     ) -> None:
         # A late answer may name items that were removed in the meantime.
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
@@ -1,6 +1,7 @@
 """Accepts the newest tables; never reverts to older ones."""
 
 from figdoor_kernel import (
+    Era,
     Finding,
     Node,
     Revision,
@@ -52,10 +53,16 @@
 
     def _is_newer(self, tables: Tables) -> bool:
         current = self._node.tables
-        if current is None or tables.revision != current.revision:
-            return tables.revision > self.revision
+        if current is None:
+            return True
+        if _order(tables) != _order(current):
+            return _order(tables) > _order(current)
         return tables.evacuated != current.evacuated
 
     def _on_refused(self, event: TablesRefused) -> None:
         self.refused_revision = event.revision
         self.findings = event.findings
+
+
+def _order(tables: Tables) -> tuple[Era, Revision]:
+    return tables.era, tables.revision
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -1,18 +1,21 @@
-"""The newest revision of each published item."""
+"""The last change of each published item."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from figdoor_kernel import (
+    NO_POSITION,
     ItemsAdvanced,
     ItemsChanged,
     ItemsRead,
     ItemsSource,
     Node,
     NodeId,
+    Position,
     PublishedItem,
-    Revision,
     Service,
+    StoreRestored,
+    era_of,
 )
 
 # Removed items are kept so that peers learn of the removal. The platform keeps
@@ -21,8 +24,6 @@
 MAX_REMOVED = 1024
 # A node that has not read the store for this time confirms nothing to others.
 STORE_TIMEOUT_MS = 1000.0
-# The store counts revisions from 1.
-NO_REVISION = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,17 +36,21 @@
     """
 
     items: tuple[PublishedItem, ...]
-    as_of: Revision
+    as_of: Position
     is_whole: bool
     existing_keys: frozenset[str] = frozenset()
 
 
 class PublishedItems(Service):
-    """Merges items from the store and from peers; the highest revision wins.
+    """Merges items from the store and from peers; the latest position wins.
 
-    The store counts the revisions of all keys with one counter, so the higher
-    revision of a key is the newer one, wherever it came from. An item that is
-    unknown although all changes up to its revision are known was removed.
+    The store counts the revisions of all keys with one counter, so the later
+    position of a key is the newer one, wherever it came from. An item that is
+    unknown although all changes up to its position are known was removed.
+
+    If the store comes back from an older copy, all positions in it are later
+    than those before, so only a read of what exists leads there. What still
+    arrives from an earlier era describes a store that is gone.
     """
 
     def __init__(self, node: Node) -> None:
@@ -53,11 +58,11 @@
         self._node = node
         self._items: dict[str, PublishedItem] = {}
         self._removed: dict[str, PublishedItem] = {}
-        # Not all items that were removed up to this revision may be kept.
-        self._discarded_revision = NO_REVISION
-        self.as_of = NO_REVISION
+        # Not all items that were removed up to this position may be kept.
+        self._discarded_up_to = NO_POSITION
+        self.as_of = NO_POSITION
         # No item changed between this revision and ``as_of``.
-        self.newest_revision = NO_REVISION
+        self.newest = NO_POSITION
         self._store_read_ms = float('-inf')
         self._confirmed_ms = float('-inf')
         node.events.subscribe(ItemsRead, self._on_read)
@@ -78,7 +83,7 @@
         return tuple(
             item
             for item in items
-            if item.revision > self.as_of and self._is_newer(item)
+            if item.position > self.as_of and self._is_newer(item)
         )
 
     def current(
@@ -89,20 +94,20 @@
             item
             for item in items
             if (known := self._last_change(item.key)) is not None
-            and known.revision == item.revision
+            and known.position == item.position
         )
 
-    def changes_after(self, revision: Revision) -> ItemChanges:
-        """Return the items that a reader at this revision lacks."""
-        if not revision or not self._items:
+    def changes_after(self, position: Position) -> ItemChanges:
+        """Return the items that a reader at this position lacks."""
+        if not position or not self._items:
             return ItemChanges(tuple(self._items.values()), self.as_of, True)
         newer = tuple(
             item
             for collection in (self._items, self._removed)
             for item in collection.values()
-            if item.revision > revision
+            if item.position > position
         )
-        if revision < self._discarded_revision:
+        if position < self._discarded_up_to:
             # The keys are a small part of the size of all items.
             keys = frozenset(self._items)
             return ItemChanges(newer, self.as_of, False, keys)
@@ -121,13 +126,21 @@
         return now_ms - max(self._confirmed_ms, self._store_read_ms)
 
     def confirm(
-        self, as_of: Revision, age_ms: float, peer: NodeId, now_ms: float
+        self, as_of: Position, age_ms: float, peer: NodeId, now_ms: float
     ) -> None:
         """Record that the items were complete up to ``as_of`` that long ago."""
+        if era_of(as_of) != era_of(self.as_of):
+            return
         self._confirmed_ms = max(self._confirmed_ms, now_ms - age_ms)
         self._advance(as_of, ItemsSource.CONFIRMATION, peer, 0, now_ms)
 
     def _on_read(self, event: ItemsRead) -> None:
+        if self.as_of and era_of(event.as_of) != era_of(self.as_of):
+            if event.as_of < self.as_of or not event.may_lack_removals:
+                return
+            self._node.events.publish(
+                StoreRestored(self.as_of, event.as_of, event.now_ms)
+            )
         if event.from_store and not event.is_partial:
             self._store_read_ms = event.now_ms
         changed = [
@@ -139,7 +152,7 @@
             changed.extend(self._remove_missing(event))
             self._record_unknown_removals(event.as_of)
         for item in event.items:
-            self.newest_revision = max(self.newest_revision, item.revision)
+            self.newest = max(self.newest, item.position)
         source = ItemsSource.STORE if event.from_store else ItemsSource.PEER
         count = len(changed)
         self._advance(event.as_of, source, event.peer, count, event.now_ms)
@@ -150,7 +163,7 @@
 
     def _advance(
         self,
-        as_of: Revision,
+        as_of: Position,
         source: ItemsSource,
         peer: NodeId,
         changed: int,
@@ -166,20 +179,20 @@
     def _is_outdated(self, item: PublishedItem, event: ItemsRead) -> bool:
         """Return whether an item was replaced or removed since the read.
 
-        This node has every change up to ``as_of``, so an unknown item of a
-        lower revision was removed, also if the removal itself is unknown here:
+        This node has every change up to ``as_of``, so an unknown item of an
+        earlier position was removed, also if the removal itself is unknown here:
         reads of all items do not name removals. Peers and the store may have
         answered before it. A read of the store that is as new as this node is
         right about what exists.
         """
         is_latest = event.from_store and event.as_of >= self.as_of
         return item.content is not None and not (
-            is_latest or item.revision > self.as_of
+            is_latest or item.position > self.as_of
         )
 
     def _is_newer(self, item: PublishedItem) -> bool:
         known = self._last_change(item.key)
-        return known is None or known.revision < item.revision
+        return known is None or known.position < item.position
 
     def _last_change(self, key: str) -> PublishedItem | None:
         return self._items.get(key) or self._removed.get(key)
@@ -201,25 +214,23 @@
         missing = [
             PublishedItem(key, event.as_of, None)
             for key, item in self._items.items()
-            if key not in present and item.revision <= event.as_of
+            if key not in present and item.position <= event.as_of
         ]
         return [item for item in missing if self._merge(item)]
 
-    def _record_unknown_removals(self, as_of: Revision) -> None:
-        """Record that removals up to this revision may be unknown.
+    def _record_unknown_removals(self, as_of: Position) -> None:
+        """Record that removals up to this position may be unknown.
 
         A read that names what exists lacks items that were added and removed
         since the previous read, and does not say when any item was removed. A
-        peer with a revision in between may still have such an item.
+        peer with a position in between may still have such an item.
         """
-        self.newest_revision = max(self.newest_revision, as_of)
-        self._discarded_revision = max(self._discarded_revision, as_of)
+        self.newest = max(self.newest, as_of)
+        self._discarded_up_to = max(self._discarded_up_to, as_of)
 
     def _record_removed(self, item: PublishedItem) -> None:
         self._removed.pop(item.key, None)
         self._removed[item.key] = item
         if len(self._removed) > MAX_REMOVED:
             oldest = self._removed.pop(next(iter(self._removed)))
-            self._discarded_revision = max(
-                self._discarded_revision, oldest.revision
-            )
+            self._discarded_up_to = max(self._discarded_up_to, oldest.position)
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -6,11 +6,12 @@
 
 from figdoor_decisions.published._items import PublishedItems
 from figdoor_kernel import (
+    NO_POSITION,
     DependencyChanged,
     Extension,
     ItemsRead,
     Node,
-    Revision,
+    Position,
     Service,
 )
 
@@ -42,6 +43,9 @@
 # long at its start takes the items of a peer.
 MAX_FIRST_READ_MS = 300.0
 MAX_BACKOFF_MS = 800.0
+# A thousand nodes read as many times a second while the store is away. The
+# reader passes its items on within some hundred milliseconds.
+MAX_RESTORED_SPREAD_MS = 1000.0
 
 
 @unique
@@ -49,7 +53,7 @@
     """Read all items, wait for changes, or read large items by themselves.
 
     ``SPLIT`` stands for a watch whose response is too long: the store returns
-    each version of a large item since the watched revision, but only the
+    each version of a large item since the watched position, but only the
     newest one is of use.
     """
 
@@ -64,11 +68,11 @@
 
     A watch returns the changes after ``after``; the store waits for them at
     most ``wait_ms``. With ``may_be_stale``, a read of all items may return old
-    ones, if a watch from their revision follows.
+    ones, if a watch from their position follows.
     """
 
     kind: ReadKind
-    after: Revision
+    after: Position
     wait_ms: int
     may_be_stale: bool = False
 
@@ -92,8 +96,8 @@
         self._needs_whole = True
         # Whether the store has lost the history after a stale read.
         self._needs_exact = False
-        # The revision from which the response to a watch is too long.
-        self._split_after: Revision | None = None
+        # The position from which the response to a watch is too long.
+        self._split_after: Position | None = None
         self._first_read_ms: float | None = None
         self._backoff_ms: float = 0
         self._next_ms = float('-inf')
@@ -106,7 +110,7 @@
             if self._first_read_ms is None:
                 self._first_read_ms = now_ms
             may_be_stale = not self._needs_exact
-            return StoreRead(ReadKind.WHOLE, Revision(0), 0, may_be_stale)
+            return StoreRead(ReadKind.WHOLE, NO_POSITION, 0, may_be_stale)
         wait_ms = WATCH_WAIT_MS
         if not self._readers.is_reader:
             if self._items.age_ms(now_ms) <= self._readers.takeover_ms:
@@ -145,6 +149,20 @@
         self._needs_whole = True
         self._next_ms = now_ms
 
+    def record_restored(self, now_ms: float) -> None:
+        """Read all items: the store came back from an older copy.
+
+        Stale pages may be older than the copy. Nodes that do not read for the
+        others spread their reads, and need none if the reader is faster.
+        """
+        if self._needs_exact:
+            self.record_failure('came back from an older copy', now_ms)
+            return
+        self._needs_exact = True
+        self._needs_whole = True
+        spread_ms = 0 if self._readers.is_reader else MAX_RESTORED_SPREAD_MS
+        self._next_ms = now_ms + self._random.random() * spread_ms
+
     def record_too_long(self, store_read: StoreRead, now_ms: float) -> None:
         """Replace a read whose response is too long, at once.
 
--- a/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/decision_log/_log.py
@@ -18,10 +18,13 @@
     NodeStateChanged,
     Service,
     SettingsChanged,
+    StoreRestored,
     TablesAccepted,
     TablesRefused,
     Tick,
     VmListChanged,
+    era_of,
+    revision_of,
 )
 
 MS_PER_SECOND = 1000
@@ -50,6 +53,7 @@
             (TablesRefused, self._on_refused),
             (ItemRejected, self._on_rejected),
             (ItemsAdvanced, self._on_items),
+            (StoreRestored, self._on_restored),
             (VmListChanged, self._on_vm_list),
             (MembersChanged, self._on_members),
             (NodeStateChanged, self._on_state),
@@ -113,13 +117,24 @@
         self._write(
             'items',
             event.now_ms,
-            before=event.before,
-            as_of=event.as_of,
+            before=revision_of(event.before),
+            as_of=revision_of(event.as_of),
+            era=era_of(event.as_of),
             source=event.source.value,
             peer=event.peer,
             changed=event.changed,
         )
 
+    def _on_restored(self, event: StoreRestored) -> None:
+        self._write(
+            'store-restored',
+            event.now_ms,
+            before=revision_of(event.before),
+            before_era=era_of(event.before),
+            as_of=revision_of(event.as_of),
+            era=era_of(event.as_of),
+        )
+
     def _on_vm_list(self, event: VmListChanged) -> None:
         for change in self._upstreams.collect():
             self._write('upstream', event.now_ms, **change)
--- a/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/metrics/_gauges.py
@@ -5,7 +5,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge
 
-from figdoor_kernel import Extension, Node, NodeState
+from figdoor_kernel import Era, Extension, Node, NodeState, era_of
 
 MS_PER_SECOND = 1000
 
@@ -26,6 +26,11 @@
             'Refused revision newer than the one in force, 0 if there is none',
             registry=collectors,
         )
+        self._era = Gauge(
+            'figdoor_store_era',
+            'Era of the store up to which the published items are known',
+            registry=collectors,
+        )
         self._evacuated = Gauge(
             'figdoor_evacuated_zones',
             'Availability zones whose upstreams get no requests',
@@ -101,6 +106,7 @@
         refused = self._service('acceptance').refused_revision
         self._revision.set(revision)
         self._refused.set(refused if refused > revision else 0)
+        self._era.set(self._store_era())
         evacuated = node.tables.evacuated if node.tables else ()
         self._evacuated.set(len(evacuated))
 
@@ -113,6 +119,12 @@
         for service, count in queue.counts().items():
             self._waiting.labels(service).set(count)
 
+    def _store_era(self) -> Era:
+        services = self._node.registry.names(Extension.SERVICE)
+        if 'published-items' not in services:
+            return Era(0)
+        return era_of(self._service('published-items').as_of)
+
     def _held_shares(self) -> int:
         services = self._node.registry.names(Extension.SERVICE)
         if 'allowance-shares' not in services:
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_codec.py
@@ -15,11 +15,17 @@
 from figdoor_gateway.peers._schema import MalformedMessage, schema
 from figdoor_gateway.peers._vm_rows import checked_text, decode_vm, encode_vm
 from figdoor_kernel import (
+    Era,
     NodeId,
     PeerMessage,
+    Position,
     PublishedItem,
+    Revision,
     Update,
     Vm,
+    era_of,
+    position_of,
+    revision_of,
     serialized_field_name,
     serialized_type_name,
 )
@@ -30,6 +36,8 @@
 _MAX_WORDS = 2048
 # The field of a flooded message that contains the union of updates.
 _UPDATE_FIELD = 'news'
+# A position has a second field, for its era, with this ending.
+_ERA_SUFFIX = 'Era'
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +52,7 @@
     schema_name: str
     plain_type: type
     item_type: type
+    is_position: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +101,9 @@
         elif field.plain_type is tuple:
             write_item = _ITEM_WRITERS.get(field.item_type, _identity)
             setattr(struct, field.schema_name, list(map(write_item, content)))
+        elif field.is_position:
+            setattr(struct, field.schema_name, revision_of(content))
+            setattr(struct, field.schema_name + _ERA_SUFFIX, era_of(content))
         else:
             setattr(struct, field.schema_name, content)
 
@@ -101,14 +113,15 @@
     if layout is None:
         raise MalformedMessage('unknown message type')
     struct = getattr(union, layout.member)
-    decoded = [
-        _read_field(getattr(struct, field.schema_name), field)
-        for field in layout.fields
-    ]
+    decoded = [_read_field(struct, field) for field in layout.fields]
     return layout.message_type(*decoded)
 
 
-def _read_field(raw: Any, field: _Field) -> Any:
+def _read_field(struct: Any, field: _Field) -> Any:
+    raw = getattr(struct, field.schema_name)
+    if field.is_position:
+        era = getattr(struct, field.schema_name + _ERA_SUFFIX)
+        return position_of(Era(era), Revision(raw))
     plain_type = field.plain_type
     if plain_type is str:
         return checked_text(raw)
@@ -138,7 +151,13 @@
         _plain_type(get_args(hint)[0]) if get_origin(hint) is tuple else object
     )
     schema_name = _camel_case(serialized_field_name(field))
-    return _Field(field.name, schema_name, _plain_type(hint), item_type)
+    return _Field(
+        field.name,
+        schema_name,
+        _plain_type(hint),
+        item_type,
+        hint is Position,
+    )
 
 
 def _plain_type(hint: Any) -> type:
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_contents.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_contents.py
@@ -13,7 +13,13 @@
 import xxhash
 
 from figdoor_gateway.peers._schema import MalformedMessage
-from figdoor_kernel import ItemsChanged, Node, PublishedItem, Revision
+from figdoor_kernel import (
+    NO_POSITION,
+    ItemsChanged,
+    Node,
+    Position,
+    PublishedItem,
+)
 
 # The limit of the store for a value.
 MAX_CONTENT_BYTES = 1_048_576
@@ -34,7 +40,7 @@
 _LITERAL = 2**32 - 1
 
 # Contents that a request names as those that its sender has.
-Bases = Mapping[Revision, bytes]
+Bases = Mapping[Position, bytes]
 NO_BASES: Bases = MappingProxyType({})
 
 
@@ -43,7 +49,7 @@
     """One compressed version of a large item."""
 
     key: str
-    revision: Revision
+    position: Position
     compressed: bytes
 
 
@@ -51,7 +57,7 @@
     """Keeps the last versions of large items, to tell peers what changed.
 
     ``shorten(item, frozenset((7,)))`` returns the difference from the version
-    of revision 7 if that is still known, and the whole content otherwise.
+    of position 7 if that is still known, and the whole content otherwise.
     """
 
     def __init__(self, node: Node) -> None:
@@ -61,15 +67,15 @@
         node.events.subscribe(ItemsChanged, self._on_changed)
 
     def shorten(
-        self, item: PublishedItem, bases: frozenset[Revision]
-    ) -> tuple[bytes, Revision]:
+        self, item: PublishedItem, bases: frozenset[Position]
+    ) -> tuple[bytes, Position]:
         """Return the compressed form of a large item, and its base or 0."""
         content = item.content or b''
         for version in self._versions:
-            if version.key == item.key and version.revision in bases:
+            if version.key == item.key and version.position in bases:
                 difference = _encode_difference(version.compressed, content)
-                return difference, version.revision
-        return compress(content), Revision(0)
+                return difference, version.position
+        return compress(content), NO_POSITION
 
     def _on_changed(self, event: ItemsChanged) -> None:
         for item in event.changed:
@@ -77,7 +83,7 @@
                 self._add(item)
 
     def _add(self, item: PublishedItem) -> None:
-        version = _Version(item.key, item.revision, compress(item.content))
+        version = _Version(item.key, item.position, compress(item.content))
         self._versions.append(version)
         self._size_bytes += len(version.compressed)
         while (
@@ -97,10 +103,10 @@
     return len(item.content or b'')
 
 
-def expand(shortened: bytes, base: Revision, bases: Bases) -> bytes:
+def expand(shortened: bytes, base: Position, bases: Bases) -> bytes:
     """Return the content of a shortened item; raises ``MalformedMessage``.
 
-    ``bases`` are the contents that the request named, by their revisions.
+    ``bases`` are the contents that the request named, by their positions.
     """
     if not base:
         return decompress(shortened)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_rows.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_item_rows.py
@@ -4,7 +4,15 @@
 
 from figdoor_gateway.peers._contents import NO_BASES, Bases, expand
 from figdoor_gateway.peers._schema import MalformedMessage
-from figdoor_kernel import PublishedItem, Revision
+from figdoor_kernel import (
+    Era,
+    Position,
+    PublishedItem,
+    Revision,
+    era_of,
+    position_of,
+    revision_of,
+)
 
 # The limit of the store.
 MAX_KEY_LENGTH = 200
@@ -14,17 +22,23 @@
     """Return the fields of an item by their names in the schema."""
     return {
         'key': item.key,
-        'revision': item.revision,
+        'revision': revision_of(item.position),
+        'era': era_of(item.position),
         'isRemoved': item.content is None,
         'content': item.content or b'',
     }
 
 
 def encode_shortened(
-    item: PublishedItem, shortened: bytes, base: Revision
+    item: PublishedItem, shortened: bytes, base: Position
 ) -> dict[str, Any]:
     """Return the fields of an item with a shorter form of its content."""
-    fields = {'content': shortened, 'isShortened': True, 'base': base}
+    fields = {
+        'content': shortened,
+        'isShortened': True,
+        'base': revision_of(base),
+        'baseEra': era_of(base),
+    }
     return {**encode_item(item), **fields}
 
 
@@ -35,8 +49,10 @@
     """
     content = None if row.isRemoved else bytes(row.content)
     if row.isShortened and content is not None:
-        content = expand(content, Revision(row.base), bases)
-    return PublishedItem(checked_key(row.key), Revision(row.revision), content)
+        base = position_of(Era(row.baseEra), Revision(row.base))
+        content = expand(content, base, bases)
+    position = position_of(Era(row.era), Revision(row.revision))
+    return PublishedItem(checked_key(row.key), position, content)
 
 
 def checked_key(key: str) -> str:
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
@@ -31,8 +31,9 @@
     ItemsRead,
     Node,
     NodeId,
+    Position,
     PublishedItem,
-    Revision,
+    era_of,
 )
 
 # Usually there is one large item. A request must stay short even if another
@@ -82,10 +83,12 @@
         """Return the contents from which a peer may send the differences."""
         if self._needs_contents:
             return {}
+        era = era_of(self._items.as_of)
         large = filter(is_large, self._items.items.values())
         return {
-            item.revision: item.content or b''
+            item.position: item.content or b''
             for item in nlargest(MAX_BASES, large, key=content_bytes)
+            if era_of(item.position) == era
         }
 
     def _on_answer(self, peer: NodeId, bases: Bases, frame: bytes) -> None:
@@ -130,7 +133,7 @@
         self._versions = LargeVersions(node)
 
     def make_answer(self, frame: bytes) -> tuple[str, bytes]:
-        """Return the items that changed after the revision in the request."""
+        """Return the items that changed after the position in the request."""
         request = decode_items_request(frame)
         self.counters.count(RECEIVED, ItemsRequest.__name__, len(frame))
         changes = self._items.changes_after(request.after)
@@ -147,7 +150,7 @@
         return ItemsAnswer.__name__, encode_items_answer(answer, encode)
 
     def _encode(
-        self, bases: frozenset[Revision], item: PublishedItem
+        self, bases: frozenset[Position], item: PublishedItem
     ) -> dict[str, Any]:
         if not is_large(item):
             return encode_item(item)
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/peers.capnp
@@ -72,6 +72,9 @@
   members @4 :List(VmRow);
   agesMs @5 :List(UInt64);
   memberCount @6 :UInt64;
+  # A position in the store is a revision and its era.
+  asOfEra @7 :UInt64;
+  newestEra @8 :UInt64;
 }
 
 struct ItemsPush {
@@ -79,6 +82,8 @@
   asOf @1 :UInt64;
   storeAgeMs @2 :Float64;
   items @3 :List(Item);
+  baseEra @4 :UInt64;
+  asOfEra @5 :UInt64;
 }
 
 struct AllowancePoll {
@@ -113,6 +118,8 @@
   # compressed and, unless ``base`` is 0, the difference from that revision.
   isShortened @4 :Bool;
   base @5 :UInt64;
+  era @6 :UInt64;
+  baseEra @7 :UInt64;
 }
 
 struct ItemsRequest {
@@ -120,8 +127,10 @@
   sender @0 :Text;
   after @1 :UInt64;
   acceptsShortened @2 :Bool;
-  # The revisions of the large items that the requesting node has.
+  # The revisions of the large items that the requesting node has, all of the
+  # era of ``after``.
   bases @3 :List(UInt64);
+  era @4 :UInt64;
 }
 
 struct ItemsAnswer {
@@ -132,6 +141,7 @@
   items @3 :List(Item);
   # The keys of all items that exist, if ``items`` may lack removals.
   existingKeys @4 :List(Text);
+  asOfEra @5 :UInt64;
 }
 
 struct Flooded {
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/__init__.py
@@ -1,13 +1,14 @@
 """Reads the platform's configuration service and VM list over HTTP."""
 
 from figdoor_gateway.platform._client import (
+    Headers,
     PlatformClient,
     PlatformError,
     ResponseLimits,
     ResponseTooLongError,
 )
 from figdoor_gateway.platform._config_source import HttpConfigSource
-from figdoor_gateway.platform._json_client import JsonClient
+from figdoor_gateway.platform._json_client import JsonClient, JsonResponse
 from figdoor_gateway.platform._vm_list_source import (
     HttpVmListSource,
     read_vm_list,
@@ -15,9 +16,11 @@
 from figdoor_kernel import Extension, Registry
 
 __all__ = (
+    'Headers',
     'HttpConfigSource',
     'HttpVmListSource',
     'JsonClient',
+    'JsonResponse',
     'PlatformClient',
     'PlatformError',
     'ResponseLimits',
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_client.py
@@ -1,7 +1,9 @@
 """An HTTP client for the read-only interface of the platform."""
 
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -18,18 +20,29 @@
 _NOT_CHANGED = frozenset((204, 304))
 _METHOD_NOT_SUPPORTED = frozenset((405, 501))
 
+# The values of each header of a response, by its name in lower case.
+Headers = Mapping[str, list[str]]
+NO_HEADERS: Headers = MappingProxyType({})
+
 
 class PlatformError(FigdoorError):
     """The platform's response contains no value.
 
     ``status`` is the status of the response to a ``GET``. It is 0 for a
-    ``HEAD``, and if the body caused the error.
+    ``HEAD``, and if the body caused the error. ``headers`` are those of a
+    response that ``JsonClient`` has read completely.
     """
 
-    def __init__(self, message: str, status: int = 0) -> None:
-        """Store the message and the status."""
+    def __init__(
+        self,
+        message: str,
+        status: int = 0,
+        headers: Headers = NO_HEADERS,
+    ) -> None:
+        """Store what is known of the response."""
         super().__init__(message)
         self.status = status
+        self.headers = headers
 
 
 class MethodNotSupportedError(PlatformError):
--- a/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/platform/_json_client.py
@@ -6,7 +6,9 @@
 """
 
 import json
+from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 from urllib.parse import urlencode, urlsplit
@@ -29,6 +31,7 @@
 from figdoor_gateway.platform._client import (
     CONNECT_TIMEOUT_MS,
     STALL_TIMEOUT_MS,
+    Headers,
     PlatformError,
     ResponseLimits,
     ResponseTooLongError,
@@ -43,6 +46,14 @@
 _DEFAULT_LIMITS = ResponseLimits()
 
 
+@dataclass(frozen=True, slots=True)
+class JsonResponse:
+    """A decoded value, and the headers that came with it."""
+
+    content: Any
+    headers: Headers
+
+
 class JsonClient:
     """Reads JSON values; every error ends the ``Deferred`` with a failure.
 
@@ -63,8 +74,8 @@
         timeout_ms: float,
         limits: ResponseLimits = _DEFAULT_LIMITS,
         **query: str,
-    ) -> Deferred[Any]:
-        """Return the decoded value.
+    ) -> Deferred[JsonResponse]:
+        """Return the decoded value and the headers.
 
         The timeout covers the complete response, unless the limits give its
         body a time of its own.
@@ -82,18 +93,19 @@
         target: str,
         timeout_ms: float,
         limits: ResponseLimits,
-    ) -> Any:
+    ) -> JsonResponse:
         connection = self._idle
         self._idle = None
         if connection is None:
             connection = await self._connect()
         status = await connection.get(target, self._host, timeout_ms, limits)
         body = connection.take_body()
+        headers = connection.headers
         self._keep(connection)
         if status != _OK:
             message = f'GET {path} returned status {status}'
-            raise PlatformError(message, status)
-        return json.loads(body)
+            raise PlatformError(message, status, headers)
+        return JsonResponse(json.loads(body), headers)
 
     def _connect(self) -> 'Deferred[JsonConnection]':
         connection = JsonConnection(self._on_closed)
@@ -117,6 +129,7 @@
         """Start without a request; ``on_closed`` is called at the end."""
         self.transport: Any = None
         self.is_reusable = False
+        self.headers: defaultdict[str, list[str]] = defaultdict(list)
         self._on_closed = on_closed
         self._parser: Any = None
         self._answered: Deferred[int] | None = None
@@ -144,6 +157,7 @@
         self._limits = limits
         self._restart_timer(head_timeout_ms)
         self._parser = httptools.HttpResponseParser(self)
+        self.headers = defaultdict(list)
         self._status = 0
         self._is_complete = False
         self._is_framed = False
@@ -211,8 +225,11 @@
             raise PlatformError('the platform sent two responses')
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Note whether the length of the body is known, and a stated one."""
+        """Keep a header; note the length of the body, if it is known."""
         lower_name = name.lower()
+        self.headers[lower_name.decode('latin-1')].append(
+            text.decode('latin-1')
+        )
         if lower_name in {b'content-length', b'transfer-encoding'}:
             self._is_framed = True
         if lower_name == b'content-length' and text.isdigit():
--- a/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_messages.py
@@ -11,6 +11,7 @@
     Fingerprint,
     InstanceId,
     NodeId,
+    Position,
     Revision,
     RouteName,
     TenantName,
@@ -197,15 +198,15 @@
 class Digest:
     """A summary of the published items and members that a node has.
 
-    The sender has every change up to revision ``as_of``, and no item changed
+    The sender has every change up to position ``as_of``, and no item changed
     after ``newest``. The store confirmed this ``store_age_ms`` ago.
     ``members`` starts with the sender itself; ``ages_ms`` is the time since
     each member was last known to run. ``member_count`` is the number of all
     members that the sender knows, itself included.
     """
 
-    as_of: Revision
-    newest: Revision
+    as_of: Position
+    newest: Position
     store_age_ms: float
     wants_reply: bool
     members: tuple[Vm, ...]
@@ -217,8 +218,8 @@
 class ItemsPush:
     """All changes to published items after ``base`` and up to ``as_of``."""
 
-    base: Revision
-    as_of: Revision
+    base: Position
+    as_of: Position
     store_age_ms: float
     items: tuple[PublishedItem, ...]
 
--- a/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_peer_events.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import ClassVar
 
-from figdoor_kernel._ids import NodeId, Revision
+from figdoor_kernel._ids import NodeId, Position, Revision
 from figdoor_kernel._messages import PeerMessage, Update
 from figdoor_kernel._published import ItemsSource, PublishedItem
 from figdoor_kernel._serialized_names import SERIALIZED_NAME
@@ -96,9 +96,9 @@
 class ItemsRead:
     """Published items arrived, from the store or from a peer.
 
-    They include every change up to revision ``as_of``. If ``is_whole`` is
+    They include every change up to position ``as_of``. If ``is_whole`` is
     true, ``items`` are all items that exist; otherwise they are those that
-    changed after the last revision that this node had. If there are
+    changed after the last position that this node had. If there are
     ``existing_keys``, they may lack removals, and any other key than these was
     removed. ``peer`` is empty for items from the store.
 
@@ -108,7 +108,7 @@
     """
 
     items: tuple[PublishedItem, ...]
-    as_of: Revision
+    as_of: Position
     is_whole: bool
     from_store: bool
     now_ms: float
@@ -124,20 +124,33 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemsAdvanced:
-    """This node's items became complete up to a higher revision.
+    """This node's items became complete up to a later position.
 
     ``changed`` counts the items that changed with it. ``peer`` is empty if the
     items came from the store.
     """
 
-    before: Revision
-    as_of: Revision
+    before: Position
+    as_of: Position
     source: ItemsSource
     peer: NodeId
     changed: int
     now_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored:
+    """The platform's store came back from an older copy.
+
+    It lost what it had acknowledged in the meantime. ``ItemsChanged`` follows
+    with what differs between the copy and the items that this node had.
+    """
+
+    before: Position
+    as_of: Position
+    now_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ItemsChanged:
     """This node's copy of the published items changed."""
--- a/packages/figdoor-kernel/src/figdoor_kernel/_tables.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/_tables.py
@@ -5,6 +5,7 @@
 
 from figdoor_kernel._ids import (
     AvailabilityZoneName,
+    Era,
     KeyDigest,
     PoolName,
     Revision,
@@ -118,7 +119,9 @@
     row. Upstreams in ``evacuated`` zones get no requests from any pool. The
     texts are kept because peers and operators get them as published. If there
     are ``tenants``, a call needs the key of one of them, unless its route is
-    public. ``needs_key`` is set if the tables have a list of tenants, even an
+    public. The revision is one of the store's ``era``. ``version`` is the
+    operator's own number of the tables, which only increases; it is 0 if there
+    is none. ``needs_key`` is set if the tables have a list of tenants, even an
     empty one: the removal of the last tenant must not open all routes.
     """
 
@@ -136,3 +139,5 @@
     )
     needs_key: bool = field(default=False, metadata=NOT_RECORDED)
     tenants_text: str = field(default='', repr=False, metadata=NOT_RECORDED)
+    era: Era = field(default=Era(0), metadata=NOT_RECORDED)
+    version: int = field(default=0, metadata=NOT_RECORDED)
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -34,7 +34,7 @@
         return self.node.part(Extension.SERVICE, name)
 
     def read(self, *items, as_of=0, is_whole=False, from_store=True):
-        as_of = as_of or max((entry.revision for entry in items), default=0)
+        as_of = as_of or max((entry.position for entry in items), default=0)
         now_ms = self.clock.now_ms()
         self.node.events.publish(
             ItemsRead(items, as_of, is_whole, from_store, now_ms)
@@ -93,7 +93,7 @@
         rig.read(item('a', 5), as_of=9, is_whole=True)
         rig.read(item('b', 6), item('a', 10), as_of=10, from_store=False)
         assert rig.contents() == {'a': b'x'}
-        assert rig.items.items['a'].revision == 10
+        assert rig.items.items['a'].position == 10
 
     def test_newest_read_of_the_store_restores_an_item(self):
         """Guards against an item that is missing after a malformed change."""
@@ -148,7 +148,7 @@
         )
         rig.node.events.publish(read)
         assert set(rig.contents()) == set('bcd')
-        assert rig.items.newest_revision == 12
+        assert rig.items.newest == 12
 
     def test_node_without_items_says_that_there_are_none(self):
         rig = Rig()
@@ -159,9 +159,9 @@
         """Guards against digests that claim no change where one may be."""
         rig = Rig()
         rig.read(item('b', 6), as_of=9, is_whole=True)
-        assert rig.items.newest_revision == 9
+        assert rig.items.newest == 9
         rig.read(as_of=12)
-        assert rig.items.newest_revision == 9
+        assert rig.items.newest == 9
 
     @given(
         st.lists(
--- a/tests/decisions/test_rolling_restarts.py
+++ b/tests/decisions/test_rolling_restarts.py
@@ -55,7 +55,7 @@
             self.read(name, *items, as_of=self.revision, is_whole=True)
             return
         after = store_read.after
-        changes = [item for item in self.history if item.revision > after]
+        changes = [item for item in self.history if item.position > after]
         plan.record_success(self.clock.now_ms())
         self.read(name, *changes, as_of=self.revision)
 
--- a/tests/fuzz/test_items_relay.py
+++ b/tests/fuzz/test_items_relay.py
@@ -1,7 +1,8 @@
 """Any order of changes, reads, restarts and messages in a store deployment.
 
 The test guards against nodes that skip a change of the store and keep, for
-example, a worker that has left.
+example, a worker that has left, also after the store came back from an older
+copy.
 """
 
 from gossip_fleet import Fleet
@@ -14,9 +15,17 @@
     rule,
 )
 
-from figdoor_kernel import ItemsRead, PublishedItem
+from figdoor_kernel import (
+    ItemsRead,
+    PublishedItem,
+    era_of,
+    position_of,
+    revision_of,
+)
 
 NODES = 4
+# Members find each other within some exchanges of 3 s.
+SETTLE_ROUNDS = 24
 KEYS = 'abcd'
 nodes = st.integers(0, NODES - 1)
 
@@ -25,25 +34,40 @@
     """The changes of all keys, as the platform's store acknowledged them."""
 
     def __init__(self):
+        self.era = 0
         self.changes = []
 
     @property
-    def revision(self):
-        return len(self.changes)
+    def as_of(self):
+        return position_of(self.era, len(self.changes))
 
     def write(self, key, content):
-        item = PublishedItem(key, self.revision + 1, content)
-        self.changes.append(item)
+        position = position_of(self.era, len(self.changes) + 1)
+        self.changes.append(PublishedItem(key, position, content))
+
+    def restore(self, lost):
+        """Come back from a copy that lacks the last changes."""
+        self.era += 1
+        self.changes = [
+            PublishedItem(
+                item.key,
+                position_of(self.era, revision_of(item.position)),
+                item.content,
+            )
+            for item in self.changes[: max(1, len(self.changes) - lost)]
+        ]
 
-    def after(self, revision):
-        return self.changes[revision:]
+    def after(self, position):
+        return self.changes[revision_of(position) :]
 
     def latest(self, as_of):
-        """Return the last change of each key up to a revision."""
-        return {item.key: item for item in self.changes[:as_of]}
+        """Return the last change of each key up to a position."""
+        return {
+            item.key: item for item in self.changes if item.position <= as_of
+        }
 
     def existing(self):
-        latest = self.latest(self.revision).values()
+        latest = self.latest(self.as_of).values()
         return [item for item in latest if item.content is not None]
 
 
@@ -81,7 +105,7 @@
 
     @rule(key=st.sampled_from(KEYS), exists=st.booleans())
     def write(self, key, exists):
-        latest = self.store.latest(self.store.revision).get(key)
+        latest = self.store.latest(self.store.as_of).get(key)
         is_listed = latest is not None and latest.content is not None
         if exists or is_listed:
             self.store.write(key, b'x' if exists else None)
@@ -91,7 +115,7 @@
         self.fleet.read(
             f'n{number}',
             *self.store.existing(),
-            as_of=self.store.revision,
+            as_of=self.store.as_of,
             is_whole=True,
         )
         self.part(number, 'store-reading').record_success(
@@ -101,18 +125,20 @@
     @rule(number=nodes)
     def watch(self, number):
         as_of = self.part(number, 'published-items').as_of
-        if as_of:
+        if era_of(as_of) < self.store.era:
+            self.read_all(number)
+        elif as_of:
             self.fleet.read(
                 f'n{number}',
                 *self.store.after(as_of),
-                as_of=self.store.revision,
+                as_of=self.store.as_of,
             )
 
     @rule(number=nodes, key=st.sampled_from(KEYS))
     def read_ahead(self, number, key):
         """Let a node learn of one key before all other changes."""
         items = self.part(number, 'published-items')
-        change = self.store.latest(self.store.revision).get(key)
+        change = self.store.latest(self.store.as_of).get(key)
         newer = items.newer([change] if change else [])
         if items.as_of and newer:
             now_ms = self.fleet.clock.now_ms()
@@ -125,7 +151,7 @@
     def begin_read_all(self, number):
         existing = tuple(self.store.existing())
         now_ms = self.fleet.clock.now_ms()
-        read = ItemsRead(existing, self.store.revision, True, True, now_ms)
+        read = ItemsRead(existing, self.store.as_of, True, True, now_ms)
         self.late.append((f'n{number}', read))
 
     @rule(number=nodes, peer=nodes)
@@ -164,6 +190,10 @@
         self.fetch_missing()
         self.deliver_all()
 
+    @rule(lost=st.integers(0, 6))
+    def restore_store(self, lost):
+        self.store.restore(lost)
+
     @rule(duration_ms=st.sampled_from((50, 500, 3000)))
     def pass_time(self, duration_ms):
         self.fleet.run(duration_ms)
@@ -188,21 +218,45 @@
 
     @invariant()
     def check_no_change_is_skipped(self):
-        """Check that each node has every change up to its own revision."""
+        """Check that each node has every change up to its own position.
+
+        What the store has lost is not a change any more.
+        """
         for number in range(NODES):
             items = self.part(number, 'published-items')
-            assert items.as_of <= self.store.revision
-            newest = self.store.latest(self.store.revision)
+            assert items.as_of <= self.store.as_of
+            if era_of(items.as_of) < self.store.era:
+                continue
+            newest = self.store.latest(self.store.as_of)
             for key, change in self.store.latest(items.as_of).items():
                 self.check_item(change, items.items.get(key), newest[key])
 
+    def teardown(self):
+        """Check that all nodes equal the store once messages arrive again."""
+        for number in range(NODES):
+            # A node begins with a read of all items.
+            if not self.part(number, 'published-items').as_of:
+                self.read_all(number)
+        for _ in range(SETTLE_ROUNDS):
+            for name in self.fleet.readers():
+                self.watch(int(name.removeprefix('n')))
+            self.pass_time(500)
+            self.deliver_all()
+            self.fetch_missing()
+            self.deliver_all()
+        existing = {item.key: item for item in self.store.existing()}
+        for number in range(NODES):
+            items = self.part(number, 'published-items')
+            assert items.as_of == self.store.as_of
+            assert items.items == existing
+
     def check_item(self, change, item, newest):
         """Check a node's item against the last change that it should have."""
         if item is not None:
-            assert item.revision >= change.revision
+            assert item.position >= change.position
         elif change.content is not None:
             # The node may know of a removal after its revision.
-            assert newest.revision > change.revision
+            assert newest.position > change.position
 
     def part(self, number, name):
         return self.fleet.part(f'n{number}', name)
--- a/tests/fuzz/test_store_decoders.py
+++ b/tests/fuzz/test_store_decoders.py
@@ -13,7 +13,7 @@
 from test_decoder import ROUTE, SERVICE, TENANT, Rig, configuration
 from test_entries import ENTRY
 
-from figdoor_kernel import ItemRejected, ItemsRead, PublishedItem
+from figdoor_kernel import Era, ItemRejected, ItemsRead, PublishedItem
 from figdoor_platform._configuration import read_configuration
 from figdoor_platform._entries import read_entry
 from figdoor_platform._store_source import read_items
@@ -97,7 +97,7 @@
     def test_one_odd_item_leaves_the_others(self, name, value):
         others = [{**ITEM, 'Key': f'servers/o-{number}'} for number in (1, 2)]
         rows = [others[0], {**ITEM, name: value}, others[1]]
-        keys = [item.key for item in read_items(rows, lambda *_: None)]
+        keys = [item.key for item in read_items(rows, Era(0), lambda *_: None)]
         assert {'servers/o-1', 'servers/o-2'} <= set(keys)
 
 
--- a/tests/gateway/peers/test_codec.py
+++ b/tests/gateway/peers/test_codec.py
@@ -24,12 +24,14 @@
     FloodedUpdate,
     Heartbeat,
     PeerMessage,
+    Position,
     PublishedItem,
     Update,
     Vm,
     VmId,
     VmListDifference,
     VmState,
+    position_of,
 )
 from figdoor_tables import Change
 
@@ -50,10 +52,11 @@
     st.integers(0, 65_535),
     st.sampled_from(VmState),
 )
+positions = st.builds(position_of, counts, counts)
 published_items = st.builds(
     PublishedItem,
     names,
-    counts,
+    positions,
     st.none() | st.binary(max_size=200),
 )
 # The largest numbers of items in one message.
@@ -74,6 +77,9 @@
         if hint == Update:
             parts.append(st.one_of(*map(messages_of, get_args(Update))))
             continue
+        if hint is Position:
+            parts.append(positions)
+            continue
         if get_origin(hint) is tuple:
             parts.append(LISTS[get_args(hint)[0]].map(tuple))
             continue
--- a/tests/gateway/peers/test_items.py
+++ b/tests/gateway/peers/test_items.py
@@ -17,6 +17,7 @@
     ItemsAnswer,
     ItemsRequest,
     decode_items_answer,
+    decode_items_request,
     encode_items_answer,
     encode_items_request,
 )
@@ -27,6 +28,7 @@
     ItemsChanged,
     ItemsRead,
     PublishedItem,
+    position_of,
 )
 
 
@@ -42,6 +44,14 @@
         answer = ItemsAnswer(9, False, 12.5, items, frozenset(keys))
         assert decode_items_answer(encode_items_answer(answer)) == answer
 
+    def test_positions_of_two_eras_are_decoded_as_encoded(self):
+        """Guards against a lost change that a peer takes for a newer one."""
+        item = PublishedItem('servers/a', position_of(3, 7), b'x')
+        answer = ItemsAnswer(position_of(2, 9), False, 1, (item,))
+        assert decode_items_answer(encode_items_answer(answer)) == answer
+        request = ItemsRequest('n1', position_of(2, 9), (position_of(2, 4),))
+        assert decode_items_request(encode_items_request(request)) == request
+
     def test_too_long_key_is_malformed(self):
         """Guards against memory that a faulty peer fills."""
         answer = ItemsAnswer(9, False, 0, (), frozenset(('k' * 201,)))
--- a/tests/gateway/platform/test_json_client.py
+++ b/tests/gateway/platform/test_json_client.py
@@ -1,5 +1,7 @@
 """Reads of JSON values over HTTP, over connections without sockets."""
 
+from operator import attrgetter
+
 import pytest
 from twisted.internet.defer import CancelledError, succeed
 from twisted.internet.task import Clock
@@ -50,8 +52,9 @@
         self.client = ScriptedClient()
         self.outcomes = []
 
-    def get(self, timeout_ms=60_000, **query):
-        reading = self.client.get('/kv', timeout_ms, **query)
+    def get(self, timeout_ms=60_000, limits=ResponseLimits(), **query):
+        reading = self.client.get('/kv', timeout_ms, limits, **query)
+        reading.addCallback(attrgetter('content'))
         reading.addBoth(self.outcomes.append)
         return reading
 
@@ -199,9 +202,7 @@
     )
     @pytest.mark.parametrize('is_stated', [True, False])
     def test_response_at_the_limit(self, rig, body_bytes, is_read, is_stated):
-        rig.client.get('/kv', 60_000, ResponseLimits(max_bytes=64)).addBoth(
-            rig.outcomes.append
-        )
+        rig.get(limits=ResponseLimits(max_bytes=64))
         body = b'"%b"' % (b'b' * (body_bytes - 2))
         head = b'Content-Length: %d\r\n' % body_bytes if is_stated else b''
         rig.receive(b'HTTP/1.1 200 OK\r\n%b\r\n%b' % (head, body))
@@ -213,9 +214,7 @@
             assert isinstance(rig.error, ResponseTooLongError)
 
     def test_stated_length_over_the_limit_fails_before_the_body(self, rig):
-        rig.client.get('/kv', 60_000, ResponseLimits(max_bytes=64)).addBoth(
-            rig.outcomes.append
-        )
+        rig.get(limits=ResponseLimits(max_bytes=64))
         rig.receive(b'HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n')
         assert isinstance(rig.error, ResponseTooLongError)
         assert rig.connection.transport.aborted
@@ -225,7 +224,7 @@
         monkeypatch.setattr(loop, 'reactor', clock)
         monkeypatch.setattr(_json_client, 'reactor', clock)
         limits = ResponseLimits(transfer_ms=6000)
-        rig.client.get('/kv', 500, limits).addBoth(rig.outcomes.append)
+        rig.get(500, limits)
         rig.receive(WHOLE[:-5])
         clock.advance(0.9)
         rig.receive(WHOLE[-5:-3])
@@ -242,7 +241,7 @@
         monkeypatch.setattr(loop, 'reactor', clock)
         monkeypatch.setattr(_json_client, 'reactor', clock)
         limits = ResponseLimits(transfer_ms=6000)
-        rig.client.get('/kv', 500, limits).addBoth(rig.outcomes.append)
+        rig.get(500, limits)
         rig.receive(data)
         clock.advance(wait_s)
         assert isinstance(rig.error, PlatformError)
--- a/tests/platform_adapter/test_store_source.py
+++ b/tests/platform_adapter/test_store_source.py
@@ -13,12 +13,19 @@
 from twisted.web.http_headers import Headers
 
 from figdoor_gateway.platform import (
+    JsonResponse,
     PlatformClient,
     PlatformError,
     ResponseTooLongError,
 )
 from figdoor_gateway.platform._client import MAX_RESPONSE_BYTES
-from figdoor_kernel import Extension, ItemRejected, ItemsRead, Tick
+from figdoor_kernel import (
+    Extension,
+    ItemRejected,
+    ItemsRead,
+    Tick,
+    position_of,
+)
 from figdoor_platform import StoreSource
 from figdoor_platform._configuration import CONFIG_KEY
 from figdoor_platform._store_source import MAX_ITEMS_BYTES, MAX_WATCH_BYTES
@@ -41,6 +48,8 @@
 
     def __init__(self, *responses):
         self.responses = list(responses)
+        # The headers of all responses.
+        self.headers = {}
         self.queries = []
         self.limits = []
 
@@ -51,12 +60,15 @@
             return fail(PlatformError('down', 503))
         response = self.responses.pop(0)
         if isinstance(response, Deferred):
-            return response
+            return response.addCallback(self.respond)
         if response is TOO_LONG:
             return fail(ResponseTooLongError('response is too long'))
         if isinstance(response, int):
-            return fail(PlatformError('no value', response))
-        return succeed(response)
+            return fail(PlatformError('no value', response, self.headers))
+        return succeed(self.respond(response))
+
+    def respond(self, content):
+        return JsonResponse(content, self.headers)
 
 
 class Rig:
@@ -157,6 +169,101 @@
         assert rig.keys == {'servers/b'}
 
 
+class TestRestored:
+    """Guards against nodes that keep what the store has lost in a drill.
+
+    The store comes back from an older copy and gives revisions out again, so
+    a revision alone does not show which of two changes is the newer one.
+    """
+
+    def rig(self, *responses):
+        """Return a node in era 1 that has read up to revision 9."""
+        rig = Rig()
+        rig.store.headers = {'store-era': ['1']}
+        rig.store.responses = [
+            page(row('servers/a', 3), row('servers/b', 9), as_of=9),
+            events(as_of=9),
+        ]
+        rig.tick(1000)
+        rig.store.headers = {'store-era': ['2']}
+        rig.store.responses = list(responses)
+        return rig
+
+    def test_events_of_a_later_era_lead_to_an_exact_read(self):
+        """The watched revision was given out again for another change."""
+        rig = self.rig(
+            events(row('servers/c', 10), as_of=10),
+            page(row('servers/c', 10), row('servers/d', 8), as_of=10),
+        )
+        rig.tick()
+        rig.tick()
+        assert rig.keys == {'servers/c', 'servers/d'}
+        assert 'AllowStale' not in rig.store.queries[-1]
+        assert rig.reads.events[-1].as_of == position_of(2, 10)
+
+    @pytest.mark.parametrize('status', [410, 429, 503])
+    def test_error_shows_a_later_era(self, status):
+        rig = self.rig(status, page(row('servers/a', 3), as_of=5))
+        rig.tick()
+        rig.tick()
+        assert rig.keys == {'servers/a'}
+
+    def test_watch_goes_on_in_the_later_era(self):
+        rig = self.rig(
+            410,
+            page(row('servers/a', 3), as_of=5),
+            events(row('servers/b', 6), as_of=6),
+        )
+        for _ in range(3):
+            rig.tick()
+        assert rig.store.queries[-1]['after'] == '5'
+        assert rig.keys == {'servers/a', 'servers/b'}
+
+    def test_pages_of_two_eras_are_read_again(self):
+        rig = self.rig(410)
+        rig.tick()
+        restored = Deferred()
+        rig.store.responses = [
+            page(row('servers/a', 3), as_of=5, more=True),
+            restored,
+            page(row('servers/x', 4), as_of=4),
+        ]
+        rig.tick()
+        rig.store.headers = {'store-era': ['3']}
+        restored.callback(page(row('servers/b', 9), as_of=5))
+        assert rig.keys == {'servers/a', 'servers/b'}
+        rig.tick(1000)
+        assert rig.keys == {'servers/x'}
+
+    @pytest.mark.parametrize('era', [['0'], ['1']])
+    def test_response_of_an_earlier_era_is_not_believed(self, era):
+        """A frozen node or a slow link may deliver it late."""
+        rig = self.rig(410, page(row('servers/a', 3), as_of=5))
+        rig.tick()
+        rig.tick()
+        rig.store.headers = {'store-era': era}
+        rig.store.responses = [events(row('servers/b', 9), as_of=9)]
+        rig.tick()
+        assert rig.keys == {'servers/a'}
+
+    @pytest.mark.parametrize(
+        'values', [[], ['2', '2'], ['?'], ['-1'], [''], ['9' * 17]]
+    )
+    def test_odd_era_does_not_stop_the_following(self, values):
+        rig = self.rig(events(row('servers/c', 10), as_of=10))
+        rig.store.headers = {'store-era': values}
+        rig.tick()
+        assert rig.keys == {'servers/a', 'servers/b', 'servers/c'}
+
+    def test_failures_after_a_restoration_are_spaced(self):
+        """Guards against a read on each tick while the store fails."""
+        rig = self.rig(*([503] * 100))
+        before = len(rig.store.queries)
+        for _ in range(100):
+            rig.tick(10)
+        assert len(rig.store.queries) - before <= 12
+
+
 class TestOddItems:
     """Guards against one odd item that ends the following of the store."""
 
@@ -269,7 +376,7 @@
         last = rig.reads.events[-1]
         assert last.as_of == 30
         assert not last.is_partial
-        assert {item.revision for item in last.items} == {27, 28, 29, 30}
+        assert {item.position for item in last.items} == {27, 28, 29, 30}
 
     def test_second_read_that_is_too_long_leads_to_a_read_of_all(self):
         rig = self.rig(
@@ -348,15 +455,26 @@
         )
 
 
+class ClientWithoutHeaders:
+    """Returns values as ``JsonClient`` does, from a fake HTTP client."""
+
+    def __init__(self, http):
+        self.client = PlatformClient('http://127.0.0.1:1')
+        self.client._http = http
+
+    def get(self, *arguments, **query):
+        reading = self.client.get(*arguments, **query)
+        return reading.addCallback(JsonResponse, {})
+
+
 class TestLimits:
     """Guards against a limit that stops what fits, or lets more pass."""
 
     def rig(self, *responses):
         rig = Rig()
         rig.source.stop()
-        rig.source._client = PlatformClient('http://127.0.0.1:1')
         rig.http = SizedHttp()
-        rig.source._client._http = rig.http
+        rig.source._client = ClientWithoutHeaders(rig.http)
         rig.http.responses = list(responses)
         rig.clock.advance_ms(2000)
         rig.source.start()
