Keep what a copy of the store takes back

What callers would see: after the store came back from an older copy, a worker that was draining or gone, an evacuated zone and the routes and keys of an older configuration would be in use again.

Cause: a node kept only the items of the store, which within one era never takes an acknowledged word back.

A worker carries the order of its statements (start and Sequence), the tables the operator's Version.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/__init__.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/__init__.py
@@ -8,6 +8,7 @@
     StoreRead,
     StoreReadingPlan,
 )
+from figdoor_decisions.published._restoring import RestoredStore
 from figdoor_decisions.published._vm_list import ListedVms
 from figdoor_kernel import Extension, Registry
 
@@ -18,6 +19,7 @@
     'ListedVms',
     'PublishedItems',
     'ReadKind',
+    'RestoredStore',
     'StoreRead',
     'StoreReadingPlan',
     'register',
@@ -25,8 +27,9 @@
 
 
 def register(registry: Registry) -> None:
-    """Provide items, the VM list, reads of the store and acceptance."""
+    """Provide items, what follows from them, and reads of the store."""
     registry.provide(Extension.SERVICE, 'published-items', PublishedItems)
+    registry.provide(Extension.SERVICE, 'restored-store', RestoredStore)
     registry.provide(Extension.SERVICE, 'listed-vms', ListedVms)
     registry.provide(Extension.SERVICE, 'store-reading', StoreReadingPlan)
     registry.provide(Extension.SERVICE, 'acceptance', NewestAcceptance)
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_acceptance.py
@@ -1,7 +1,9 @@
 """Accepts the newest tables; never reverts to older ones."""
 
+from figdoor_decisions.published._restoring import RestoredStore
 from figdoor_kernel import (
     Era,
+    Extension,
     Finding,
     Node,
     Revision,
@@ -10,6 +12,7 @@
     TablesAccepted,
     TablesRead,
     TablesRefused,
+    Tick,
 )
 
 
@@ -19,16 +22,24 @@
     The store of the platform returns the newest revision and accepts only valid
     configurations, so no agreement between nodes is needed. Tables of the
     revision in force are accepted if their evacuated zones differ: each zone has
-    an item of its own, which never reverts either.
+    an item of its own, which never reverts either. ``RestoredStore`` says what
+    holds after the store has come back from an older copy.
     """
 
     def __init__(self, node: Node) -> None:
-        """Subscribe to tables that were read or refused."""
+        """Subscribe to tables that were read or refused, and to ticks."""
         self._node = node
+        self._restored: RestoredStore = node.part(
+            Extension.SERVICE, 'restored-store'
+        )
+        # The tables as the store has them.
+        self._stored: Tables | None = None
+        self._holds_zones = False
         self.refused_revision = Revision(0)
         self.findings: tuple[Finding, ...] = ()
         node.events.subscribe(TablesRead, self._on_read)
         node.events.subscribe(TablesRefused, self._on_refused)
+        node.events.subscribe(Tick, self._on_tick)
 
     @property
     def revision(self) -> Revision:
@@ -47,9 +58,20 @@
         )
 
     def _on_read(self, event: TablesRead) -> None:
-        if self._is_newer(event.tables):
-            events = self._node.events
-            events.publish(TablesAccepted(event.tables, event.now_ms))
+        self._stored = event.tables
+        self._update(event.tables, event.now_ms)
+
+    def _on_tick(self, event: Tick) -> None:
+        is_held = self._holds_zones
+        if is_held and not self._restored.holds_zones(event.now_ms):
+            if self._stored is not None:
+                self._update(self._stored, event.now_ms)
+
+    def _update(self, stored: Tables, now_ms: float) -> None:
+        tables = self._restored.merge(stored, now_ms)
+        self._holds_zones = self._restored.holds_zones(now_ms)
+        if self._is_newer(tables):
+            self._node.events.publish(TablesAccepted(tables, now_ms))
 
     def _is_newer(self, tables: Tables) -> bool:
         current = self._node.tables
--- a/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
+++ b/packages/figdoor-kernel/src/figdoor_kernel/__init__.py
@@ -209,6 +209,7 @@
     FIGDOOR_SERVICE,
     Vm,
     VmList,
+    VmStatement,
 )
 
 __all__ = (
@@ -369,6 +370,7 @@
     'VmListChanged',
     'VmListDifference',
     'VmState',
+    'VmStatement',
     'Wait',
     'era_of',
     'load_plugins',
