Let an example of the relay end before its first step

The check at the end of an example failed if hypothesis ended the example before the fleet was built: seen as FlakyStrategyDefinition in a run of 2,000 longer examples, not in the 60 of the suite. The check is skipped then, since there is nothing to compare.

--- a/tests/fuzz/test_items_relay.py
+++ b/tests/fuzz/test_items_relay.py
@@ -90,6 +90,8 @@
 class ItemsRelay(RuleBasedStateMachine):
     """Four nodes, of which any may restart and any may read the store."""
 
+    fleet = None
+
     @initialize()
     def start(self):
         self.store = Store()
@@ -233,6 +235,9 @@
 
     def teardown(self):
         """Check that all nodes equal the store once messages arrive again."""
+        if self.fleet is None:
+            # An example may end before its first step.
+            return
         for number in range(NODES):
             # A node begins with a read of all items.
             if not self.part(number, 'published-items').as_of:
