Record transferred state in traces, and ask as many peers as are known

A node that had discovered one member only was settled by its answer. Found when the diff was read again.

The clients of peers share the constructor of their base class.

Evidence: test_state_of_a_peer_is_recorded_without_fingerprints; without the change the trace holds the fingerprint. 432 tests of traces, peers, kernel and transfers pass.

--- a/packages/figdoor-decisions/src/figdoor_decisions/state_transfer/_transfer.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/state_transfer/_transfer.py
@@ -110,6 +110,6 @@
             self._answered.add(event.peer)
             self._interval_ms = FIRST_INTERVAL_MS
             self._next_ms = event.now_ms
-        needed = min(SETTLED_PEERS, len(self._members.others))
+        needed = min(SETTLED_PEERS, self._members.count - 1)
         if len(self._answered) >= needed:
             self.is_settled = True
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_client.py
@@ -8,10 +8,11 @@
 from twisted.protocols.basic import Int32StringReceiver
 
 from figdoor_gateway.loop import MS_PER_SECOND, call_later, cancel, reactor
-from figdoor_gateway.peers._addresses import Address
+from figdoor_gateway.peers._addresses import Address, Addresses
 from figdoor_gateway.peers._counters import PeerCounters
 from figdoor_gateway.peers._frames import MAX_ANSWER_BYTES
 from figdoor_gateway.peers._schema import MalformedMessage
+from figdoor_kernel import Node
 
 # A change must reach every node within 3 s. This leaves time for a second
 # request to another peer. It limits each pause, not the whole answer, since a
@@ -96,9 +97,16 @@
     again that this node is behind.
     """
 
-    def __init__(self, counters: PeerCounters) -> None:
+    def __init__(
+        self,
+        node: Node,
+        addresses: Addresses,
+        counters: PeerCounters,
+    ) -> None:
         """Start without a pending request."""
         self.counters = counters
+        self._node = node
+        self._addresses = addresses
         self._is_pending = False
 
     def request(
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_items.py
@@ -54,9 +54,7 @@
         counters: PeerCounters,
     ) -> None:
         """Subscribe to reports that this node is behind a peer."""
-        super().__init__(counters)
-        self._node = node
-        self._addresses = addresses
+        super().__init__(node, addresses, counters)
         self._items: PublishedItems = node.part(
             Extension.SERVICE,
             'published-items',
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_state.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_state.py
@@ -28,9 +28,7 @@
         counters: PeerCounters,
     ) -> None:
         """Subscribe to requests."""
-        super().__init__(counters)
-        self._node = node
-        self._addresses = addresses
+        super().__init__(node, addresses, counters)
         node.events.subscribe(StateRequested, self._on_requested)
 
     def _on_requested(self, event: StateRequested) -> None:
--- a/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_client.py
+++ b/packages/figdoor-gateway/src/figdoor_gateway/peers/_sync_client.py
@@ -35,9 +35,7 @@
         counters: PeerCounters,
     ) -> None:
         """Subscribe to reports that this node is behind a peer."""
-        super().__init__(counters)
-        self._node = node
-        self._addresses = addresses
+        super().__init__(node, addresses, counters)
         self._acceptance: Acceptance = node.part(
             Extension.SERVICE,
             'acceptance',
--- a/packages/figdoor-traces/src/figdoor_traces/_inputs.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_inputs.py
@@ -25,6 +25,7 @@
     'figdoor_kernel._call_events',
     'figdoor_kernel._node_events',
     'figdoor_kernel._peer_events',
+    'figdoor_kernel._state_transfer',
 )
 _EVENT_TYPES: Mapping[str, Any] = {
     serialized_type_name(event_type): event_type
--- a/packages/figdoor-traces/src/figdoor_traces/_recording.py
+++ b/packages/figdoor-traces/src/figdoor_traces/_recording.py
@@ -25,6 +25,7 @@
     Node,
     PeerMessageReceived,
     RoutedCall,
+    StateReceived,
     TablesOffered,
     UpstreamDied,
     VmList,
@@ -70,6 +71,7 @@
             TablesOffered: self._on_tables,
             VmListChanged: self._on_vm_list,
             PeerMessageReceived: self._on_peer_message,
+            StateReceived: self._on_state,
         }
         self._writer.write(
             {
@@ -107,6 +109,19 @@
                 event = replace(event, message=message)
         self._on_other(event)
 
+    def _on_state(self, event: StateReceived) -> None:
+        suspects = tuple(
+            replace(
+                suspect,
+                fingerprint=Fingerprint(
+                    self._fingerprints.of(suspect.fingerprint)
+                ),
+            )
+            for suspect in event.state.suspects
+        )
+        state = replace(event.state, suspects=suspects)
+        self._on_other(replace(event, state=state))
+
     def _on_tables(self, event: TablesOffered) -> None:
         details: dict[str, Any] = {
             'revision': event.revision,
--- a/tests/traces/test_recording.py
+++ b/tests/traces/test_recording.py
@@ -1,6 +1,7 @@
 """Recorded traces: replay, size limit, and privacy of the callers."""
 
 import json
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -29,20 +30,25 @@
     ItemsRead,
     Node,
     NodeId,
+    ObservedCrash,
     Options,
     PeerMessageReceived,
     PeerSendRequested,
     PublishedItem,
     Revision,
     Send,
+    StateReceived,
+    SuspectedRequest,
     TablesOffered,
     Tick,
+    TransferredState,
     digest_of_key,
 )
 from figdoor_platform import PublishedDecoder
 from figdoor_standins.deployment import Deployment
 from figdoor_standins.processes import http
 from figdoor_traces import Recorder, TraceRandom, read_trace, replay
+from figdoor_traces import _codec as trace_codec
 
 SECRET = 'hunter2'
 # After this time a node of a new fleet acts as owner.
@@ -330,3 +336,22 @@
         text = self.record(key)
         assert SECRET not in text
         assert digest_of_key(key.encode()).hex() not in text
+
+
+class TestTransferredState:
+    """Guards against a replay that knows other crashes than the node did."""
+
+    def test_state_of_a_peer_is_recorded_without_fingerprints(self):
+        written = []
+        node = store_node()
+        Recorder(node, written.append, 1_000_000)
+        crash = ObservedCrash('w1', '1', 10.0)
+        suspect = SuspectedRequest('r', 987_654_321, (crash,))
+        state = TransferredState((suspect, replace(suspect, route='s')))
+        node.events.publish(StateReceived('n2', state, 0.0))
+        fields = json.loads(written[-1])
+        numbered = trace_codec.decode(TransferredState, fields['state'])
+        assert '987654321' not in written[-1]
+        assert numbered == TransferredState(
+            tuple(replace(row, fingerprint=1) for row in state.suspects)
+        )
