--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -61,7 +61,7 @@
         # Not all items that were removed up to this position may be kept.
         self._discarded_up_to = NO_POSITION
         self.as_of = NO_POSITION
-        # No item changed between this revision and ``as_of``.
+        # No item changed between this position and ``as_of``.
         self.newest = NO_POSITION
         self._store_read_ms = float('-inf')
         self._confirmed_ms = float('-inf')
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -43,8 +43,8 @@
 # long at its start takes the items of a peer.
 MAX_FIRST_READ_MS = 300.0
 MAX_BACKOFF_MS = 800.0
-# A thousand nodes read as many times a second while the store is away. The
-# reader passes its items on within some hundred milliseconds.
+# Nodes whose items nobody confirms notice the return of the store all at once.
+# Most get the items of the reader before their turn.
 MAX_RESTORED_SPREAD_MS = 1000.0
 
 
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_restoring.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_restoring.py
@@ -20,7 +20,7 @@
 # Operators write again what the store has lost. Without a bound, a zone whose
 # evacuation nobody remembers would stay out of use.
 EVACUATION_HOLD_MS = 60_000.0
-# The copy is some seconds old.
+# The copy is some seconds old, in which few workers leave.
 MAX_DEPARTED = 1024
 
 
