Test drills and restarts with processes

The stand-in for the store learns to come back from a copy with a later Store-Era, and the stand-in for a worker to reset the connections of the requests that it runs. With them, one test moves a configuration in the seconds that the store loses and another after its return, on two nodes, and one lets a node start after a request has crashed upstreams.

The model of the relay records answers of peers as the product does.

--- a/standins/src/figdoor_standins/store.py
+++ b/standins/src/figdoor_standins/store.py
@@ -7,7 +7,9 @@
 - ``POST /_put?key=K`` with the value as body, ``POST /_remove?key=K``,
   ``POST /_mode?status=S`` to respond to reads with that status (0: never
   respond), ``POST /_forget`` to discard the history, and ``GET /_calls`` for
-  the count of reads.
+  the count of reads;
+- ``POST /_copy`` to keep a copy, and ``POST /_restore`` to come back from it:
+  revisions go back, and ``Store-Era`` in all responses rises by one.
 """
 
 import json
@@ -32,6 +34,7 @@
     app = Klein()
 
     def __init__(self):
+        self.era = 1
         self.revision = 100
         self.items = {}
         self.events = []
@@ -40,10 +43,11 @@
         self.calls = 0
         # The prefix of the keys of each watch.
         self.watches = {}
+        self.copied = None
 
     @app.route('/figdoor/kv-range')
     def range(self, request):
-        self.calls += 1
+        self.begin(request)
         if self.status != 200:
             return self.fail(request)
         after = _argument(request, b'after')
@@ -60,11 +64,11 @@
 
     @app.route('/figdoor/kv-watch')
     def watch(self, request):
-        self.calls += 1
+        self.begin(request)
         if self.status != 200:
             return self.fail(request)
         after = int(_argument(request, b'after'))
-        if after < self.oldest_revision:
+        if not self.oldest_revision <= after <= self.revision:
             request.setResponseCode(410)
             return b'{}'
         wait_ms = int(_argument(request, b'WaitMs'))
@@ -115,10 +119,28 @@
         self.events.clear()
         return b'ok'
 
+    @app.route('/_copy', methods=['POST'])
+    def copy(self, request):
+        self.copied = (self.revision, dict(self.items), list(self.events))
+        return b'ok'
+
+    @app.route('/_restore', methods=['POST'])
+    def restore(self, request):
+        for pending in tuple(self.watches):
+            del self.watches[pending]
+            pending.cancel()
+        self.revision, self.items, self.events = self.copied
+        self.era += 1
+        return b'ok'
+
     @app.route('/_calls')
     def call_counts(self, request):
         return json.dumps({'calls': self.calls}).encode()
 
+    def begin(self, request):
+        self.calls += 1
+        request.setHeader('Store-Era', str(self.era))
+
     def fail(self, request):
         if not self.status:
             return Deferred()
--- a/standins/src/figdoor_standins/store_worker.py
+++ b/standins/src/figdoor_standins/store_worker.py
@@ -6,7 +6,8 @@
 ``GET /_runs`` returns the counts, and ``GET /_callers`` the values of
 ``Tenant`` and ``Authorization`` by request id. ``POST /_mode?mode=M`` sets ``well``,
 ``draining`` (unhealthy), ``full`` (responds 503 with ``Not-Executed``),
-``failing`` (responds 500) or ``mute`` (runs requests and never responds).
+``failing`` (responds 500), ``mute`` (runs requests and never responds) or
+``crashing`` (resets the connections of requests that it runs).
 """
 
 import json
@@ -77,6 +78,9 @@
             headers.getRawHeaders(name, [])
             for name in ('tenant', 'authorization')
         ]
+        if self.mode == 'crashing':
+            request.transport.abortConnection()
+            return Deferred()
         self.running += 1
         if self.mode == 'mute':
             return Deferred()
--- a/tests/fuzz/test_items_relay.py
+++ b/tests/fuzz/test_items_relay.py
@@ -165,9 +165,11 @@
     def receive_late(self, index):
         if self.late:
             name, read = self.late.pop(index % len(self.late))
+            plan = self.fleet.part(name, 'store-reading')
             if read.from_store:
-                plan = self.fleet.part(name, 'store-reading')
                 plan.record_success(self.fleet.clock.now_ms())
+            else:
+                plan.record_peer_items()
             self.fleet.nodes[name].events.publish(read)
 
     @rule(number=nodes)
--- a/tests/processes/test_store_deployment.py
+++ b/tests/processes/test_store_deployment.py
@@ -137,6 +137,9 @@
         for _, _, operator_port in self.nodes.values():
             wait_until(lambda: http(operator_port, '/readyz')[0] == 200)
 
+    def log(self, node):
+        return (self.folder / f'n{node}.log').read_text()
+
     def send(self, request_id, node=0, method='GET'):
         """Send a request; return status, headers in lower case and body."""
         headers = {
@@ -265,6 +268,59 @@
             wait_until(lambda: rig.status('j1', node=node) == 404, 3)
 
 
+class TestRestoredStore:
+    """Guards against nodes that keep what the store has lost for good.
+
+    The store gives the lost revisions out again, for other changes.
+    """
+
+    def test_change_after_the_return_is_in_force(self, rig):
+        rig.add_node(1)
+        rig.wait_ready()
+        http(rig.store_port, '/_copy', 'POST', b'')
+        moved = configuration(Prefix='/other/')
+        rig.put('op/config', {**moved, 'Version': 2})
+        for node in (0, 1):
+            wait_until(lambda: rig.status('n1', node=node) == 404, 3)
+        http(rig.store_port, '/_restore', 'POST', b'')
+        for node in (0, 1):
+            wait_until(lambda: 'store-restored' in rig.log(node), 3)
+            # The lower version of the copy does not come into force again.
+            assert rig.status('n2', node=node) == 404
+        rig.put('op/config', {**configuration(), 'Version': 3})
+        for node in (0, 1):
+            wait_until(lambda: rig.status('n3', node=node) == 200, 3)
+
+
+class TestPoisonRequest:
+    """Guards against a request that each new node lets crash upstreams."""
+
+    def test_node_that_starts_refuses_what_the_others_refuse(self, tmp_path):
+        rig = Rig(tmp_path)
+        with rig.stack:
+            rig.put('op/config', configuration('non_idempotent'))
+            for name in ('i-1', 'i-2', 'i-3'):
+                rig.add_worker(name)
+                rig.set_mode(name, 'crashing')
+            rig.add_node(quarantine_deaths=2)
+            rig.wait_ready()
+            refused = '"refusal": "quarantined"'
+            wait_until(
+                lambda: (
+                    rig.status('o1', method='POST') == 503
+                    and refused in rig.log(0)
+                ),
+                10,
+            )
+            rig.add_node(1, quarantine_deaths=2)
+            rig.wait_ready()
+            wait_until(lambda: '"suspects": 1' in rig.log(1), 3)
+            assert rig.status('o2', node=1, method='POST') == 503
+            # Lines reach the log a moment after the response.
+            wait_until(lambda: refused in rig.log(1), 3)
+            assert 'o2' not in rig.runs()
+
+
 class TestSignals:
     """Guards against signals that end or abort more than they should."""
 
