Read all items again after each return of the store

What would be seen: after a second drill, a node that had got its items from a peer in the first one watches in an earlier era and backs off for ever; if it reads for the others, no node learns of changes.

Cause: record_restored took a set flag for exact reads for a read that is already planned, but items of a peer clear only the flag for whole reads.

Change: a read counts as planned if both flags are set, and both are set before the backoff.

Evidence: test_second_return_of_the_store_needs_a_whole_read_again fails before (a watch follows) and passes now; 136 tests of reads, items, gossip and the relay's state machine pass.

--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_items.py
@@ -50,7 +50,7 @@
 
     If the store comes back from an older copy, all positions in it are later
     than those before, so only a read of what exists leads there. What still
-    arrives from an earlier era describes a store that is gone.
+    arrives from an earlier era is outdated.
     """
 
     def __init__(self, node: Node) -> None:
--- a/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
+++ b/packages/figdoor-decisions/src/figdoor_decisions/published/_reading.py
@@ -155,11 +155,12 @@
         Stale pages may be older than the copy. Nodes that do not read for the
         others spread their reads, and need none if the reader is faster.
         """
-        if self._needs_exact:
+        is_planned = self._needs_whole and self._needs_exact
+        self._needs_whole = True
+        self._needs_exact = True
+        if is_planned:
             self.record_failure('came back from an older copy', now_ms)
             return
-        self._needs_exact = True
-        self._needs_whole = True
         spread_ms = 0 if self._readers.is_reader else MAX_RESTORED_SPREAD_MS
         self._next_ms = now_ms + self._random.random() * spread_ms
 
--- a/tests/decisions/test_published.py
+++ b/tests/decisions/test_published.py
@@ -334,3 +334,16 @@
         plan.record_success(0)
         plan.record_lost_history(500)
         assert plan.next_read(500).may_be_stale
+
+    def test_second_return_of_the_store_needs_a_whole_read_again(self):
+        """Guards against a node that watches an earlier era for ever.
+
+        A peer was faster than its own read after the first return.
+        """
+        rig = Rig()
+        plan = rig.part('store-reading')
+        plan.record_success(0)
+        plan.record_restored(1000)
+        plan.record_peer_items()
+        plan.record_restored(5000)
+        assert plan.next_read(7000).kind is ReadKind.WHOLE
